Add base and runtime modules, build, formatter and linter set-up

The repository was empty. This adds the CMake layout (one static library per module folder, one test program per test folder), the Qt-style formatter and linter settings, the scripts that install, build, lint and test, and two modules: jy_base (errors with the kind-to-answer table, ids, stable hash, hybrid clock) and jy_runtime (Boost.Fiber scheduler on an Asio loop).

The scheduler runs Asio handlers only from the dispatcher fiber, since a handler that wakes the fiber being suspended would resume it before its switch is complete.

--- /dev/null
+++ b/modules/jy_runtime/fibers/EventLoop.cpp
@@ -0,0 +1,48 @@
+#include "jy_runtime/fibers/EventLoop.h"
+
+#include "jy_runtime/fibers/AsioScheduler.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
+
+namespace jy {
+
+namespace {
+
+// Beast parsers and JSON handling run on these stacks; the 128 KiB default overflowed in deep JSON.
+constexpr std::size_t fiberStackBytes = 256 * 1024;
+
+} // namespace
+
+EventLoop::EventLoop()
+    : io_(std::make_shared<boost::asio::io_context>(1))
+    , work_(io_->get_executor())
+{
+    boost::fibers::use_scheduling_algorithm<AsioScheduler>(io_);
+}
+
+void EventLoop::run(const std::function<void()> &body)
+{
+    boost::fibers::fiber(std::allocator_arg, boost::fibers::fixedsize_stack(fiberStackBytes), body)
+        .join();
+}
+
+void EventLoop::spawn(std::function<void()> body)
+{
+    boost::fibers::fiber(std::allocator_arg, boost::fibers::fixedsize_stack(fiberStackBytes),
+                         std::move(body))
+        .detach();
+}
+
+void EventLoop::postFromOtherThread(std::function<void()> body)
+{
+    boost::asio::post(*io_, [body = std::move(body)]() mutable { spawn(std::move(body)); });
+}
+
+void EventLoop::sleepFor(std::chrono::nanoseconds duration)
+{
+    boost::this_fiber::sleep_for(duration);
+}
+
+} // namespace jy
--- /dev/null
+++ b/tests/jy_base/BaseTest.cpp
@@ -0,0 +1,53 @@
+#include "jy_base/jy_base.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+namespace {
+
+class ErrorTableRow : public testing::TestWithParam<jy::ErrorAnswer>
+{ };
+
+// Guards against a kind whose name cannot be read back by a peer or caller.
+TEST_P(ErrorTableRow, NameIdentifiesTheKind)
+{
+    EXPECT_EQ(jy::errorKindFromName(GetParam().name), GetParam().kind);
+    EXPECT_EQ(&jy::answerFor(GetParam().kind),
+              &jy::errorTable()[static_cast<int>(GetParam().kind)]);
+}
+
+// Guards against a caller who repeats a call that may have run without the recorded outcome.
+TEST_P(ErrorTableRow, AnUnknownEffectNeverAdvisesAPlainRetry)
+{
+    if (GetParam().effect != jy::Effect::Unknown)
+        return;
+    EXPECT_TRUE(GetParam().advice == jy::RetryAdvice::SameKey
+                || GetParam().advice == jy::RetryAdvice::Never);
+}
+
+INSTANTIATE_TEST_SUITE_P(AllKinds, ErrorTableRow, testing::ValuesIn(jy::errorTable()),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against a change of hash function, which would move every chat at an upgrade.
+TEST(StableHash, ValuesDoNotChangeBetweenReleases)
+{
+    EXPECT_EQ(jy::stableHash(""), 0x2D06800538D394C2ULL);
+    EXPECT_NE(jy::stableHash("chat", 1), jy::stableHash("chat", 2));
+}
+
+RC_GTEST_PROP(HybridClock, TimestampsOnlyGrow, (const std::vector<std::pair<int, int>> &steps))
+{
+    jy::HybridClock clock;
+    jy::HybridTime last;
+    for (const auto &[wall, remote] : steps) {
+        const jy::WallTime now{std::chrono::milliseconds(wall)};
+        const auto stamp = remote % 2 == 0 ? clock.tick(now)
+                                           : clock.receive({.wallMs = remote, .counter = 1}, now);
+        RC_ASSERT(stamp > last);
+        last = stamp;
+    }
+}
+
+} // namespace
