Add the HTTP server, client and event-stream parser

Test tools, platform adapters and the caller interface need HTTP/1.1 on fibers. jy_http serves and sends requests with Boost.Beast as the parser; no public header includes Beast.

It cancels the exchange when the caller disconnects. The client reuses a connection only after a complete exchange and reports ConnectFailed only when no byte was written.

--- /dev/null
+++ b/modules/jy_http/client/ClientExchange.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "jy_http/client/ConnectionPool.h"
+#include "jy_http/client/HttpStream.h"
+#include "jy_http/messages/Cancellation.h"
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <optional>
+
+namespace jy {
+
+/** One request and its response on one connection. Internal to jy_http. */
+class HttpStream::Impl
+{
+public:
+    Impl(std::weak_ptr<ConnectionPool> pool, Endpoint endpoint,
+         std::unique_ptr<ClientConnection> connection, const HttpCallOptions &options);
+
+    /** Connects unless the connection is already open. */
+    Result<void> connect(TimePoint deadline);
+
+    /** Writes the request. */
+    Result<void> send(const std::string &head, const std::string &body, TimePoint deadline);
+
+    /** Reads the response head. @param head the request's method is HEAD */
+    Result<void> receiveHead(bool head, std::size_t maxHeadBytes, TimePoint deadline);
+
+    /** @returns a part of the body, empty at its end. */
+    Result<std::string> readSome(TimePoint deadline);
+
+    int status() const { return status_; }
+    const HttpHeaders &headers() const { return headers_; }
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    Error broken(const char *step, boost::system::error_code error, bool expired) const;
+    void finish();
+
+    std::weak_ptr<ConnectionPool> pool_;
+    Endpoint endpoint_;
+    std::unique_ptr<ClientConnection> connection_;
+    std::shared_ptr<Cancellation> cancellation_;
+    Cancellation::Registration registration_;
+    std::optional<Parser> parser_;
+    int status_ = 0;
+    HttpHeaders headers_;
+    bool finished_ = false;
+};
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_http/client/ConnectionPool.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "jy_base/time/TimeTypes.h"
+#include "jy_core/model/Endpoint.h"
+#include "jy_http/client/HttpClient.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace jy {
+
+/** A connection of the client and the bytes read ahead from it. */
+struct ClientConnection
+{
+    explicit ClientConnection(boost::asio::io_context &io)
+        : socket(io)
+    { }
+
+    boost::asio::ip::tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    TimePoint idleSince;
+};
+
+/** Idle connections of an HttpClient, most recently used first. Internal to jy_http. */
+class ConnectionPool
+{
+public:
+    explicit ConnectionPool(const HttpClientSettings &settings)
+        : settings_(settings)
+    { }
+
+    /** @returns a connection that the server has not closed, or null. */
+    std::unique_ptr<ClientConnection> take(const Endpoint &endpoint, TimePoint now);
+
+    /** Keeps a connection whose exchange is complete. */
+    void keep(const Endpoint &endpoint, std::unique_ptr<ClientConnection> connection,
+              TimePoint now);
+
+    void forget(const Endpoint &endpoint) { idle_.erase(endpoint); }
+    std::size_t size() const;
+
+private:
+    using Connections = std::vector<std::unique_ptr<ClientConnection>>;
+
+    void closeExpired(TimePoint now);
+
+    HttpClientSettings settings_;
+    std::map<Endpoint, Connections> idle_;
+    TimePoint nextSweep_;
+};
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_http/client/HttpClient.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "jy_core/model/Endpoint.h"
+#include "jy_http/client/HttpStream.h"
+#include "jy_http/messages/Cancellation.h"
+#include "jy_runtime/fibers/EventLoop.h"
+
+#include <chrono>
+#include <memory>
+
+namespace jy {
+
+struct HttpClientSettings
+{
+    std::chrono::milliseconds connectTimeout{1000};
+
+    /** Must be shorter than the idle time-out of the servers. */
+    std::chrono::milliseconds idleTimeout{15000};
+
+    std::size_t maxIdlePerEndpoint = 32;
+    std::size_t maxHeadBytes = 32 * 1024;
+
+    /** Limit of the body that request() collects; streams are not limited. */
+    std::size_t maxBodyBytes = 16 * 1024 * 1024;
+};
+
+/** Options of one exchange. */
+struct HttpCallOptions
+{
+    /**
+     * Do not reuse a connection. The server may close an idle connection while a request is on its
+     * way, which leaves the effect of the request unknown.
+     */
+    bool freshConnection = false;
+
+    /** Abandons the exchange; may be null. */
+    std::shared_ptr<Cancellation> cancellation;
+};
+
+/**
+ * HTTP/1.1 client with a pool of idle connections for each endpoint. A connection is reused only
+ * after a complete exchange. The client repeats no request.
+ *
+ * Errors: ConnectFailed when no byte of the request was written (it has not run); BackendBroken
+ * when the connection failed later (it may have run); DeadlineExceeded after the time-out, unless
+ * no byte was written; Cancelled; BadRequest for a request that cannot be serialised.
+ */
+class HttpClient
+{
+public:
+    static std::unique_ptr<HttpClient> create(EventLoop &loop, HttpClientSettings settings);
+
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+    ~HttpClient();
+
+    /** Performs a complete exchange within @p timeout. */
+    Result<HttpResponse> request(const Endpoint &endpoint, const HttpRequest &request,
+                                 std::chrono::milliseconds timeout,
+                                 const HttpCallOptions &options = {});
+
+    /** Sends a request and returns once the head of the response has arrived within @p timeout. */
+    Result<std::unique_ptr<HttpStream>> open(const Endpoint &endpoint, const HttpRequest &request,
+                                             std::chrono::milliseconds timeout,
+                                             const HttpCallOptions &options = {});
+
+    /** Closes the idle connections to an endpoint, for example because its server left. */
+    void forget(const Endpoint &endpoint);
+
+    std::size_t idleConnections() const;
+
+private:
+    class Impl;
+    explicit HttpClient(std::shared_ptr<Impl> impl);
+
+    std::shared_ptr<Impl> impl_;
+};
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_http/server/HttpConnection.cpp
@@ -0,0 +1,326 @@
+#include "jy_http/server/HttpConnection.h"
+
+#include "jy_http/wire/HeadWriter.h"
+#include "jy_http/wire/SocketDeadline.h"
+#include "jy_runtime/fibers/FiberToken.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <poll.h>
+
+#include <array>
+#include <charconv>
+
+namespace jy {
+
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+using boost::system::error_code;
+using tcp = asio::ip::tcp;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+// After an error response, unread input is discarded up to these limits: closing a socket with
+// unread input resets the connection, and the caller could lose the response.
+constexpr std::size_t lingerBytes = 1024 * 1024;
+constexpr std::chrono::milliseconds lingerTime{500};
+
+// A pipelined request hides the end of the connection from a wait for readability, so it is then
+// looked up at this interval.
+constexpr std::chrono::milliseconds pipelinedCheckInterval{100};
+
+HttpRequest toRequest(http::request<http::string_body> &&message, const Endpoint &source)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message)
+        request.headers.add(field.name_string(), field.value());
+    request.body = std::move(message.body());
+    request.source = source;
+    return request;
+}
+
+// Tells input that breaks the protocol or a limit from a connection that ended.
+bool isMalformed(error_code error)
+{
+    return error.category() == http::make_error_code(http::error::body_limit).category()
+        && error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
+Error readError(error_code error, const HttpServerSettings &settings)
+{
+    if (error == http::error::body_limit)
+        return {ErrorKind::PayloadTooLarge,
+                "the body exceeds " + std::to_string(settings.maxBodyBytes) + " bytes"};
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
+        return {ErrorKind::PayloadTooLarge,
+                "the request head exceeds " + std::to_string(settings.maxHeadBytes) + " bytes"};
+    return {ErrorKind::BadRequest, "malformed request: " + error.message()};
+}
+
+} // namespace
+
+/** Writes to the socket of a connection during one exchange. */
+class HttpConnection::Responder final : public HttpResponder
+{
+public:
+    Responder(HttpConnection &connection, bool head)
+        : connection_(connection)
+        , head_(head)
+        , cancellation_(Cancellation::create())
+    { }
+
+    using HttpResponder::send;
+
+    bool send(int status, const HttpHeaders &headers, std::string_view body) override
+    {
+        if (started_)
+            return false;
+        started_ = true;
+        complete_ = true;
+        const bool bodyless = status == 204 || status == 304;
+        const auto text =
+            responseHead(status, headers, bodyless ? BodyFraming::None : BodyFraming::Length,
+                         body.size(), keepAlive());
+        const bool withBody = !bodyless && !head_;
+        return put(std::array<asio::const_buffer, 2>{
+            asio::buffer(text), asio::buffer(withBody ? body : std::string_view())});
+    }
+
+    bool startStream(int status, const HttpHeaders &headers) override
+    {
+        if (started_)
+            return false;
+        started_ = true;
+        const auto text = responseHead(status, headers, BodyFraming::Chunked, 0, keepAlive());
+        return put(std::array<asio::const_buffer, 1>{asio::buffer(text)});
+    }
+
+    bool write(std::string_view chunk) override
+    {
+        if (!started_ || complete_)
+            return false;
+        if (chunk.empty() || head_)
+            return !callerGone();
+        std::array<char, 18> size{};
+        auto *end = std::to_chars(size.data(), size.data() + 16, chunk.size(), 16).ptr;
+        *end++ = '\r';
+        *end++ = '\n';
+        return put(std::array<asio::const_buffer, 3>{
+            asio::buffer(size.data(), static_cast<std::size_t>(end - size.data())),
+            asio::buffer(chunk), asio::buffer("\r\n", 2)});
+    }
+
+    bool endStream() override
+    {
+        if (!started_ || complete_)
+            return false;
+        complete_ = true;
+        return head_ || put(std::array{asio::buffer("0\r\n\r\n", 5)});
+    }
+
+    bool started() const override { return started_; }
+    bool complete() const { return complete_ && !callerGone(); }
+    bool callerGone() const override { return cancellation_->cancelled(); }
+    const std::shared_ptr<Cancellation> &cancellation() const override { return cancellation_; }
+
+private:
+    bool keepAlive() const { return connection_.keepAlive_ && !connection_.closing_; }
+
+    template <class Buffers>
+    bool put(const Buffers &buffers)
+    {
+        if (callerGone())
+            return false;
+        const SocketDeadline deadline(connection_.socket_,
+                                      Clock::now() + connection_.settings_.writeTimeout,
+                                      SocketDeadline::Effect::Close);
+        error_code error;
+        asio::async_write(connection_.socket_, buffers, FiberToken{error});
+        if (error)
+            cancellation_->cancel();
+        return !error;
+    }
+
+    HttpConnection &connection_;
+    bool head_;
+    std::shared_ptr<Cancellation> cancellation_;
+    bool started_ = false;
+    bool complete_ = false;
+};
+
+HttpConnection::HttpConnection(tcp::socket socket, const HttpServerSettings &settings,
+                               const HttpHandler &handler)
+    : socket_(std::move(socket))
+    , settings_(settings)
+    , handler_(handler)
+{
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    const auto remote = socket_.remote_endpoint(ignored);
+    source_ = {remote.address().to_string(), remote.port()};
+}
+
+void HttpConnection::run()
+{
+    while (socket_.is_open() && keepAlive_ && waitForRequest()) {
+        const auto request = readRequest();
+        if (!request)
+            break;
+        handle(*request);
+        if (closing_)
+            break;
+    }
+    closeGently();
+}
+
+void HttpConnection::closeWhenIdle()
+{
+    closing_ = true;
+    error_code ignored;
+    // Bytes that have arrived belong to a request that must be answered.
+    if (idle_ && socket_.available(ignored) == 0)
+        socket_.close(ignored);
+}
+
+void HttpConnection::close()
+{
+    closing_ = true;
+    error_code ignored;
+    socket_.close(ignored);
+}
+
+bool HttpConnection::waitForRequest()
+{
+    if (buffer_.size() > 0)
+        return true;
+    const SocketDeadline deadline(socket_, Clock::now() + settings_.idleTimeout,
+                                  SocketDeadline::Effect::Close);
+    idle_ = true;
+    error_code error;
+    socket_.async_wait(tcp::socket::wait_read, FiberToken{error});
+    idle_ = false;
+    return !error && socket_.is_open();
+}
+
+std::optional<HttpRequest> HttpConnection::readRequest()
+{
+    const SocketDeadline deadline(socket_, Clock::now() + settings_.requestTimeout,
+                                  SocketDeadline::Effect::EndReads);
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(settings_.maxHeadBytes));
+    parser.body_limit(settings_.maxBodyBytes);
+    error_code error;
+    http::async_read_header(socket_, buffer_, parser, FiberToken{error});
+    if (!error) {
+        const auto &head = parser.get();
+        const auto fields = static_cast<std::size_t>(std::distance(head.begin(), head.end()));
+        if (fields > settings_.maxHeaderCount) {
+            reject({ErrorKind::PayloadTooLarge,
+                    "more than " + std::to_string(settings_.maxHeaderCount) + " header fields"});
+            return std::nullopt;
+        }
+        if (head[http::field::expect] == "100-continue" && !parser.is_done())
+            asio::async_write(socket_, asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25),
+                              FiberToken{error});
+    }
+    if (!error)
+        http::async_read(socket_, buffer_, parser, FiberToken{error});
+    if (deadline.expired()) {
+        reject({ErrorKind::RequestTimeout, "the request was not complete in time"});
+        return std::nullopt;
+    }
+    if (error) {
+        if (isMalformed(error))
+            reject(readError(error, settings_));
+        return std::nullopt;
+    }
+    keepAlive_ = parser.get().keep_alive();
+    return toRequest(parser.release(), source_);
+}
+
+void HttpConnection::handle(const HttpRequest &request)
+{
+    Responder responder(*this, request.method == "HEAD");
+    handling_ = true;
+    watchCaller(responder.cancellation());
+    try {
+        handler_(request, responder);
+    } catch (const std::exception &problem) {
+        if (!responder.started())
+            responder.send(errorResponse({ErrorKind::Internal, problem.what()}));
+    }
+    handling_ = false;
+    if (!responder.started())
+        responder.send(errorResponse({ErrorKind::Internal, "the request was not answered"}));
+    error_code ignored;
+    socket_.cancel(ignored);
+    if (!responder.complete())
+        socket_.close(ignored);
+}
+
+void HttpConnection::watchCaller(const std::shared_ptr<Cancellation> &cancellation)
+{
+    // The wait ends when handle() cancels it; the weak pointer tells a later exchange apart.
+    socket_.async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this(), weak = std::weak_ptr(cancellation)](error_code error) {
+            const auto current = weak.lock();
+            if (!current || !self->handling_)
+                return;
+            if (error || self->callerClosed()) {
+                current->cancel();
+                return;
+            }
+            EventLoop::spawn([self, weak] {
+                while (true) {
+                    EventLoop::sleepFor(pipelinedCheckInterval);
+                    const auto watched = weak.lock();
+                    if (!watched || !self->handling_)
+                        return;
+                    if (self->callerClosed())
+                        return watched->cancel();
+                }
+            });
+        });
+}
+
+bool HttpConnection::callerClosed()
+{
+    if (!socket_.is_open())
+        return true;
+    pollfd state{.fd = socket_.native_handle(), .events = POLLRDHUP, .revents = 0};
+    return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+void HttpConnection::reject(const Error &error)
+{
+    const SocketDeadline deadline(socket_, Clock::now() + settings_.writeTimeout,
+                                  SocketDeadline::Effect::Close);
+    const auto response = errorResponse(error);
+    const auto text = responseHead(response.status, response.headers, BodyFraming::Length,
+                                   response.body.size(), false)
+        + response.body;
+    error_code ignored;
+    asio::async_write(socket_, asio::buffer(text), FiberToken{ignored});
+}
+
+void HttpConnection::closeGently()
+{
+    error_code error;
+    socket_.shutdown(tcp::socket::shutdown_send, error);
+    const SocketDeadline deadline(socket_, Clock::now() + lingerTime,
+                                  SocketDeadline::Effect::Close);
+    std::array<char, 4096> discarded{};
+    for (std::size_t total = 0; !error && total < lingerBytes;)
+        total += socket_.async_read_some(asio::buffer(discarded), FiberToken{error});
+    socket_.close(error);
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_http/server/HttpConnection.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "jy_http/server/HttpServer.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace jy {
+
+/** Serves the requests of one accepted socket. Internal to jy_http. */
+class HttpConnection : public std::enable_shared_from_this<HttpConnection>
+{
+public:
+    /** @param settings and @p handler must outlive the connection */
+    HttpConnection(boost::asio::ip::tcp::socket socket, const HttpServerSettings &settings,
+                   const HttpHandler &handler);
+
+    /** Runs until the connection closes. */
+    void run();
+
+    /** Ends the connection after the current request, at once when there is none. */
+    void closeWhenIdle();
+
+    /** Sends Connection: close with the next response. */
+    void announceClose() { closing_ = true; }
+
+    /** Ends the connection at once. */
+    void close();
+
+    bool handling() const { return handling_; }
+
+private:
+    class Responder;
+
+    bool waitForRequest();
+    std::optional<HttpRequest> readRequest();
+    void handle(const HttpRequest &request);
+    void watchCaller(const std::shared_ptr<Cancellation> &cancellation);
+    bool callerClosed();
+    void reject(const Error &error);
+    void closeGently();
+
+    boost::asio::ip::tcp::socket socket_;
+    const HttpServerSettings &settings_;
+    const HttpHandler &handler_;
+    boost::beast::flat_buffer buffer_;
+    Endpoint source_;
+    bool idle_ = false;
+    bool handling_ = false;
+    bool closing_ = false;
+    bool keepAlive_ = true;
+};
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_http/wire/SocketDeadline.cpp
@@ -0,0 +1,26 @@
+#include "jy_http/wire/SocketDeadline.h"
+
+namespace jy {
+
+SocketDeadline::SocketDeadline(boost::asio::ip::tcp::socket &socket, TimePoint at, Effect effect)
+    : timer_(socket.get_executor(), at)
+    , state_(std::make_shared<State>())
+{
+    timer_.async_wait([state = state_, &socket, effect](boost::system::error_code error) {
+        if (error || !state->active)
+            return;
+        state->expired = true;
+        boost::system::error_code ignored;
+        if (effect == Effect::Close)
+            socket.close(ignored);
+        else
+            socket.shutdown(boost::asio::ip::tcp::socket::shutdown_receive, ignored);
+    });
+}
+
+SocketDeadline::~SocketDeadline()
+{
+    state_->active = false;
+}
+
+} // namespace jy
