--- /dev/null
+++ b/tests/jy_http/HttpClientTest.cpp
@@ -0,0 +1,169 @@
+#include "jy_http/HttpTestServer.h"
+
+using namespace std::chrono_literals;
+using namespace jy::test;
+
+namespace {
+
+struct BrokenResponse
+{
+    std::string name;
+    std::string text;
+    bool hold;
+    jy::ErrorKind expected;
+};
+
+class BrokenBackend : public testing::TestWithParam<BrokenResponse>
+{ };
+
+// Guards against a broken response that passes as complete, and against a request that may have
+// run being reported as not run.
+TEST_P(BrokenBackend, IsReportedWithItsEffect)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        const RawServer backend(loop, [&](tcp::socket &socket, int) {
+            RawServer::readHead(socket);
+            RawServer::write(socket, GetParam().text);
+            if (GetParam().hold)
+                RawServer::readHead(socket);
+        });
+        auto client = jy::HttpClient::create(loop, clientSettings());
+        const auto result = client->request(backend.endpoint(), {}, 40ms);
+        ASSERT_FALSE(result);
+        EXPECT_EQ(result.error().kind, GetParam().expected) << result.error().message;
+        EXPECT_EQ(client->idleConnections(), 0U);
+    });
+}
+
+using K = jy::ErrorKind;
+INSTANTIATE_TEST_SUITE_P(
+    Responses, BrokenBackend,
+    testing::Values(
+        BrokenResponse{"NoResponse", "", false, K::BackendBroken},
+        BrokenResponse{"Garbage", "nonsense\r\n\r\n", false, K::BackendBroken},
+        BrokenResponse{"TruncatedHead", "HTTP/1.1 200 OK\r\nA:", false, K::BackendBroken},
+        BrokenResponse{"TruncatedBody", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", false,
+                       K::BackendBroken},
+        BrokenResponse{"TruncatedChunks",
+                       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false,
+                       K::BackendBroken},
+        BrokenResponse{"NeverResponds", "", true, K::DeadlineExceeded},
+        BrokenResponse{"StallsInBody", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", true,
+                       K::DeadlineExceeded}),
+    [](const auto &info) { return info.param.name; });
+
+// Guards against "may have run" for a request that never left, which would forbid a retry.
+TEST(HttpClient, RefusedConnectionIsNotRun)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        jy::Endpoint closed;
+        {
+            tcp::acceptor acceptor(loop.io(), {boost::asio::ip::make_address("127.0.0.1"), 0});
+            closed = {"127.0.0.1", acceptor.local_endpoint().port()};
+        }
+        auto client = jy::HttpClient::create(loop, clientSettings());
+        EXPECT_EQ(client->request(closed, {}, 1s).error().kind, K::ConnectFailed);
+        EXPECT_EQ(client->request({"not an address", 1}, {}, 1s).error().kind, K::ConnectFailed);
+    });
+}
+
+// Guards against a late response being taken for the response of the next request.
+TEST(HttpClient, LateResponseNeverAnswersTheNextRequest)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        const RawServer backend(loop, [](tcp::socket &socket, int connection) {
+            RawServer::readHead(socket);
+            if (connection == 0)
+                jy::EventLoop::sleepFor(40ms);
+            RawServer::write(socket,
+                             "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
+                                 + std::to_string(connection));
+        });
+        auto client = jy::HttpClient::create(loop, clientSettings());
+        EXPECT_EQ(client->request(backend.endpoint(), {}, 20ms).error().kind, K::DeadlineExceeded);
+        jy::EventLoop::sleepFor(30ms);
+        EXPECT_EQ(client->request(backend.endpoint(), {}, 1s).value().body, "1");
+    });
+}
+
+// Guards against reuse of a connection that the server has closed or on which it sent extra bytes.
+TEST(HttpClient, DiscardsPooledConnectionsThatAreNotQuiet)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        const RawServer backend(loop, [](tcp::socket &socket, int connection) {
+            RawServer::readHead(socket);
+            RawServer::write(socket,
+                             "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
+                                 + std::to_string(connection));
+            jy::EventLoop::sleepFor(5ms);
+            if (connection == 0)
+                RawServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nX");
+        });
+        auto client = jy::HttpClient::create(loop, clientSettings());
+        for (const char *expected : {"0", "1", "2"}) {
+            EXPECT_EQ(client->request(backend.endpoint(), {}, 1s).value().body, expected);
+            jy::EventLoop::sleepFor(10ms);
+        }
+    });
+}
+
+// Guards against a header value from a caller that injects a second request.
+TEST(HttpClient, RefusesToSerialiseInjectedLines)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        auto client = jy::HttpClient::create(loop, clientSettings());
+        for (const auto &request :
+             {jy::HttpRequest{.headers = {{"A", "b\r\nC: d"}}}, jy::HttpRequest{.target = "/ x"},
+              jy::HttpRequest{.method = "GET / HTTP/1.1\r\n"}})
+            EXPECT_EQ(client->request({"127.0.0.1", 1}, request, 1s).error().kind, K::BadRequest);
+    });
+}
+
+// Guards against a cancelled caller whose backend exchange goes on or returns to the pool.
+TEST(HttpClient, CancellationEndsAnExchangeAtOnce)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        bool backendSawClose = false;
+        const RawServer backend(loop, [&](tcp::socket &socket, int) {
+            RawServer::readHead(socket);
+            RawServer::readHead(socket);
+            backendSawClose = true;
+        });
+        auto client = jy::HttpClient::create(loop, clientSettings());
+        const auto cancellation = jy::Cancellation::create();
+        jy::EventLoop::spawn([&] {
+            jy::EventLoop::sleepFor(5ms);
+            cancellation->cancel();
+        });
+        const auto result =
+            client->request(backend.endpoint(), {}, 10s, {.cancellation = cancellation});
+        EXPECT_EQ(result.error().kind, K::Cancelled);
+        EXPECT_TRUE(eventually([&] { return backendSawClose; }));
+    });
+}
+
+// Guards against "not run" being reported after part of a request was written.
+TEST(HttpClient, PartlyWrittenRequestMayHaveRun)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        const RawServer backend(loop, [](tcp::socket &socket, int) {
+            std::array<char, 16> some{};
+            boost::system::error_code error;
+            socket.async_read_some(boost::asio::buffer(some), jy::FiberToken{error});
+            socket.set_option(boost::asio::socket_base::linger(true, 0));
+            socket.close();
+        });
+        auto client = jy::HttpClient::create(loop, clientSettings());
+        const jy::HttpRequest request{.method = "POST", .body = std::string(8000000, 'x')};
+        EXPECT_EQ(client->request(backend.endpoint(), request, 2s).error().kind, K::BackendBroken);
+    });
+}
+
+} // namespace
--- /dev/null
+++ b/tests/jy_http/HttpServerTest.cpp
@@ -0,0 +1,207 @@
+#include "jy_http/HttpTestServer.h"
+
+using namespace std::chrono_literals;
+using namespace jy::test;
+
+namespace {
+
+void answerOk(const jy::HttpRequest &, jy::HttpResponder &responder)
+{
+    responder.send(200, {}, "ok");
+}
+
+struct HostileInput
+{
+    std::string name;
+    std::string text;
+    std::string expected;
+};
+
+class HostileRequest : public testing::TestWithParam<HostileInput>
+{ };
+
+// Guards against input that exhausts memory, hides a second request or crashes the parser.
+TEST_P(HostileRequest, IsRejectedBeforeTheHandler)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        int handled = 0;
+        const jy::HttpServerSettings settings{.maxHeadBytes = 1024,
+                                              .maxHeaderCount = 8,
+                                              .maxBodyBytes = 2048,
+                                              .requestTimeout = 50ms};
+        auto server = jy::HttpServer::create(loop, settings, [&](const auto &, auto &responder) {
+                          ++handled;
+                          responder.send(200, {}, "ok");
+                      }).value();
+        RawConnection connection(loop, server->localEndpoint());
+        connection.write(GetParam().text);
+        EXPECT_EQ(connection.readAll().substr(0, 12), GetParam().expected);
+        EXPECT_EQ(handled, 0);
+    });
+}
+
+std::string repeated(const std::string &text, int count)
+{
+    std::string out;
+    for (int i = 0; i < count; ++i)
+        out += text;
+    return out;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Inputs, HostileRequest,
+    testing::Values(
+        HostileInput{"Garbage", "\x01\x02\x03 nonsense\r\n\r\n", "HTTP/1.1 400"},
+        HostileInput{"LongHead", "GET / HTTP/1.1\r\nA: " + repeated("x", 5000) + "\r\n\r\n",
+                     "HTTP/1.1 413"},
+        HostileInput{"ManyHeaders", "GET / HTTP/1.1\r\n" + repeated("A: b\r\n", 9) + "\r\n",
+                     "HTTP/1.1 413"},
+        HostileInput{"LargeBody", "POST / HTTP/1.1\r\nContent-Length: 4096\r\n\r\n",
+                     "HTTP/1.1 413"},
+        HostileInput{"LargeChunkedBody",
+                     "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n"
+                         + repeated("x", 4096) + "\r\n0\r\n\r\n",
+                     "HTTP/1.1 413"},
+        HostileInput{"LengthAndChunked",
+                     "POST / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: "
+                     "chunked\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\n\r\n",
+                     "HTTP/1.1 400"},
+        HostileInput{"TwoLengths",
+                     "POST / HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcde",
+                     "HTTP/1.1 400"},
+        HostileInput{"NegativeLength", "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+                     "HTTP/1.1 400"},
+        HostileInput{"BareLineFeedInName", "GET / HTTP/1.1\r\nA\nB: c\r\n\r\n", "HTTP/1.1 400"},
+        HostileInput{"SlowHead", "GET / HTTP/1.1\r\nA: b", "HTTP/1.1 408"},
+        HostileInput{"SlowBody", "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab", "HTTP/1.1 408"}),
+    [](const auto &info) { return info.param.name; });
+
+// Guards against idle connections that hold descriptors for ever.
+TEST(HttpServer, ClosesIdleConnections)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        auto server = jy::HttpServer::create(loop, {.idleTimeout = 20ms}, answerOk).value();
+        RawConnection connection(loop, server->localEndpoint());
+        EXPECT_EQ(connection.readAll(), "");
+        EXPECT_TRUE(eventually([&] { return server->connections() == 0; }));
+    });
+}
+
+// Guards against one source that takes all connections.
+TEST(HttpServer, LimitsConnectionsOfOneSource)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        auto server =
+            jy::HttpServer::create(loop, {.maxConnectionsPerSource = 1}, answerOk).value();
+        RawConnection first(loop, server->localEndpoint());
+        ASSERT_TRUE(eventually([&] { return server->connections() == 1; }));
+        RawConnection second(loop, server->localEndpoint());
+        EXPECT_EQ(second.readAll().substr(0, 12), "HTTP/1.1 503");
+        first.close();
+        ASSERT_TRUE(eventually([&] { return server->connections() == 0; }));
+        RawConnection third(loop, server->localEndpoint());
+        third.write("GET / HTTP/1.1\r\n\r\n");
+        EXPECT_EQ(third.readSome().substr(0, 12), "HTTP/1.1 200");
+    });
+}
+
+// Guards against a reader that never reads and so holds its handler and buffers.
+TEST(HttpServer, DisconnectsAStalledReader)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        bool ended = false;
+        auto server = jy::HttpServer::create(loop, {.writeTimeout = 50ms},
+                                             [&](const auto &, auto &responder) {
+                                                 responder.startStream(200, {});
+                                                 const std::string part(65536, 'x');
+                                                 while (responder.write(part))
+                                                     continue;
+                                                 ended = responder.callerGone();
+                                             })
+                          .value();
+        RawConnection connection(loop, server->localEndpoint());
+        connection.write("GET / HTTP/1.1\r\n\r\n");
+        EXPECT_TRUE(eventually([&] { return ended; }));
+    });
+}
+
+class CallerDisconnects : public testing::TestWithParam<const char *>
+{ };
+
+// Guards against backend work that continues after its caller has left, also when a pipelined
+// request hides the end of the connection.
+TEST_P(CallerDisconnects, CancelsTheRunningRequest)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        bool running = false;
+        bool cancelled = false;
+        auto server = jy::HttpServer::create(loop, {}, [&](const auto &, auto &responder) {
+                          const auto registration =
+                              responder.cancellation()->onCancel([&] { cancelled = true; });
+                          running = true;
+                          eventually([&] { return cancelled; });
+                          running = false;
+                      }).value();
+        RawConnection connection(loop, server->localEndpoint());
+        connection.write(GetParam());
+        ASSERT_TRUE(eventually([&] { return running; }));
+        EXPECT_FALSE(cancelled);
+        connection.close();
+        EXPECT_TRUE(eventually([&] { return cancelled && !running; }));
+    });
+}
+
+INSTANTIATE_TEST_SUITE_P(Requests, CallerDisconnects,
+                         testing::Values("GET / HTTP/1.1\r\n\r\n",
+                                         "GET / HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"));
+
+// Guards against a shutdown that interrupts a request, and against one that hides it.
+TEST(HttpServer, DrainWaitsForRunningRequestsAndReportsUnfinishedOnes)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        bool release = false;
+        auto server = jy::HttpServer::create(loop, {}, [&](const auto &, auto &responder) {
+                          eventually([&] { return release; });
+                          responder.send(200, {}, "done");
+                      }).value();
+        RawConnection idle(loop, server->localEndpoint());
+        RawConnection busy(loop, server->localEndpoint());
+        busy.write("GET / HTTP/1.1\r\n\r\n");
+        ASSERT_TRUE(eventually([&] { return server->activeRequests() == 1; }));
+        EXPECT_EQ(server->drain(5ms), 1U);
+        release = true;
+        EXPECT_EQ(server->drain(2s), 0U);
+        const auto response = busy.readAll();
+        EXPECT_NE(response.find("Connection: close"), std::string::npos);
+        EXPECT_TRUE(response.ends_with("done"));
+        EXPECT_EQ(idle.readAll(), "");
+    });
+}
+
+// Guards against a stream that ends early and looks complete, and an exception that ends the
+// process.
+TEST(HttpServer, UnfinishedResponsesAreNeverCompleted)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        auto server = jy::HttpServer::create(loop, {}, [&](const auto &request, auto &responder) {
+                          if (request.target == "/throw")
+                              throw std::runtime_error("handler failed");
+                          responder.startStream(200, {});
+                          responder.write("part");
+                      }).value();
+        auto client = jy::HttpClient::create(loop, clientSettings());
+        const auto thrown = client->request(server->localEndpoint(), {.target = "/throw"}, 2s);
+        EXPECT_EQ(thrown.value().status, 500);
+        const auto cut = client->request(server->localEndpoint(), {.target = "/cut"}, 2s);
+        EXPECT_EQ(cut.error().kind, jy::ErrorKind::BackendBroken);
+    });
+}
+
+} // namespace
