Add version moves, stop marks and order fencing to the decision core

A bad version must stop within 3 s of the first detectable evidence, also while the KV service is down, and a move must end the same way on every router.

Adds the evidence table (cumulative counts per owner and slot), the canary judge (log-likelihood ratio with restart against the old version), the move state machine with compare-and-swap records, grow-only stop marks, version selection by stable hash, the load plan check, and the order lease with guard interval.

--- /dev/null
+++ b/modules/jy_core/orders/OrderLease.cpp
@@ -0,0 +1,50 @@
+#include "jy_core/orders/OrderLease.h"
+
+namespace jy {
+
+OrderLease::OrderLease(OrderLeaseSettings settings)
+    : settings_(settings)
+{ }
+
+void OrderLease::onGranted(std::uint64_t fencingToken, TimePoint requestSent)
+{
+    const bool newTerm = fencingToken != fencingToken_;
+    if (newTerm) {
+        // The KV service grants only after the earlier lease expired or was released; its holder
+        // may have started an order up to the guard interval before that.
+        unfencedFrom_ = requestSent + settings_.longestOrder;
+        fencingToken_ = fencingToken;
+    }
+    validUntil_ = requestSent + settings_.timeToLive;
+}
+
+void OrderLease::onLost()
+{
+    validUntil_.reset();
+}
+
+bool OrderLease::held(TimePoint now) const
+{
+    return validUntil_ && now < *validUntil_ - settings_.guardInterval;
+}
+
+bool OrderLease::renewalDue(TimePoint now) const
+{
+    return !validUntil_ || now + settings_.timeToLive * 2 / 3 >= *validUntil_;
+}
+
+std::optional<std::uint64_t> OrderLease::tokenForOrder(bool engineChecksFencing,
+                                                       TimePoint now) const
+{
+    if (!held(now))
+        return std::nullopt;
+    if (engineChecksFencing)
+        return fencingToken_;
+    if (now < unfencedFrom_)
+        return std::nullopt;
+    if (now + settings_.longestOrder > *validUntil_ - settings_.guardInterval)
+        return std::nullopt;
+    return fencingToken_;
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_core/versions/CanaryJudge.cpp
@@ -0,0 +1,98 @@
+#include "jy_core/versions/CanaryJudge.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace jy {
+
+namespace {
+
+/** Sums all routes; see EvidenceTable::sum(). */
+const std::string allRoutes;
+
+// Half-life of about 14 slots: old enough to be steady, new enough to follow a common fault.
+constexpr double oldVersionDecay = 0.95;
+
+// Strength of the prior on the old version's rate, in requests.
+constexpr double priorRequests = 20.0;
+
+constexpr double maximumRate = 0.95;
+
+// A rate that triples is a fault also when the old rate is already high.
+constexpr double rateFactor = 3.0;
+
+} // namespace
+
+CanaryJudge::CanaryJudge(CanaryJudgeSettings settings, MoveId move, VersionId from, VersionId to)
+    : settings_(settings)
+    , move_(std::move(move))
+    , from_(std::move(from))
+    , to_(std::move(to))
+{ }
+
+CanaryVerdict CanaryJudge::judge(const EvidenceTable &evidence, std::uint64_t lastSlot)
+{
+    if (nextSlot_ == 0 || nextSlot_ + EvidenceTable::retainedSlots < lastSlot)
+        nextSlot_ =
+            lastSlot > EvidenceTable::retainedSlots ? lastSlot - EvidenceTable::retainedSlots : 1;
+    auto routes = evidence.routes(move_);
+    routes.push_back(allRoutes);
+    for (; nextSlot_ <= lastSlot; ++nextSlot_) {
+        for (const auto &route : routes) {
+            if (auto reason = judgeSlot(evidence, route, nextSlot_))
+                return {CanaryVerdict::Kind::Bad, std::move(*reason)};
+        }
+    }
+    const auto &overall = tests_[allRoutes];
+    const bool good = overall.errors.totalRatio <= settings_.goodThreshold
+        && overall.slow.totalRatio <= settings_.goodThreshold;
+    return {good ? CanaryVerdict::Kind::Good : CanaryVerdict::Kind::Undecided, {}};
+}
+
+std::optional<std::string> CanaryJudge::judgeSlot(const EvidenceTable &evidence,
+                                                  const std::string &route, std::uint64_t slot)
+{
+    auto &tests = tests_[route];
+    const auto oldSum = evidence.sum(move_, from_, route, slot);
+    const auto newSum = evidence.sum(move_, to_, route, slot);
+    const auto oldRequests = static_cast<double>(oldSum.requests);
+    const auto newRequests = static_cast<double>(newSum.requests);
+    const auto describe = [&](const std::string &rate, double oldRate) {
+        return absl::StrCat(rate, " rate of version ", to_.value(), " on ",
+                            route.empty() ? "all routes" : "route " + route, " exceeds ",
+                            std::round(oldRate * 1000) / 10, "% of version ", from_.value());
+    };
+    const double oldErrorRate =
+        update(tests.errors, oldRequests, static_cast<double>(oldSum.errors), newRequests,
+               static_cast<double>(newSum.errors));
+    if (tests.errors.cumulativeSum >= settings_.badThreshold)
+        return describe("error", oldErrorRate);
+    const double oldSlowRate = update(tests.slow, oldRequests, static_cast<double>(oldSum.slow),
+                                      newRequests, static_cast<double>(newSum.slow));
+    if (tests.slow.cumulativeSum >= settings_.badThreshold)
+        return describe("slow first token", oldSlowRate);
+    return std::nullopt;
+}
+
+double CanaryJudge::update(RateTest &test, double oldRequests, double oldFailures,
+                           double newRequests, double newFailures) const
+{
+    test.oldRequests = test.oldRequests * oldVersionDecay + oldRequests;
+    test.oldFailures = test.oldFailures * oldVersionDecay + oldFailures;
+    const double prior = priorRequests * settings_.minimumRate;
+    const double oldRate =
+        std::clamp((test.oldFailures + prior) / (test.oldRequests + priorRequests),
+                   settings_.minimumRate, maximumRate / 2);
+    const double badRate =
+        std::min(maximumRate, std::max(oldRate * rateFactor, oldRate + settings_.rateIncrease));
+    newFailures = std::min(newFailures, newRequests);
+    const double ratio = newFailures * std::log(badRate / oldRate)
+        + (newRequests - newFailures) * std::log((1 - badRate) / (1 - oldRate));
+    test.cumulativeSum = std::max(0.0, test.cumulativeSum + ratio);
+    test.totalRatio += ratio;
+    return oldRate;
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_core/versions/EvidenceTable.cpp
@@ -0,0 +1,65 @@
+#include "jy_core/versions/EvidenceTable.h"
+
+#include <algorithm>
+#include <set>
+
+namespace jy {
+
+OutcomeSum &OutcomeSum::operator+=(const OutcomeSum &other)
+{
+    requests += other.requests;
+    errors += other.errors;
+    slow += other.slow;
+    return *this;
+}
+
+void EvidenceTable::add(const InstanceId &owner, const OutcomeCount &count)
+{
+    auto &evidence = moves_[count.move];
+    evidence.newestSlot = std::max(evidence.newestSlot, count.slot);
+    if (count.slot + retainedSlots < evidence.newestSlot)
+        return;
+    auto &held = evidence.counts[{count.version, count.route, count.slot}][owner];
+    held.requests = std::max<std::uint64_t>(held.requests, count.requests);
+    held.errors = std::max<std::uint64_t>(held.errors, count.errors);
+    held.slow = std::max<std::uint64_t>(held.slow, count.slow);
+    std::erase_if(evidence.counts, [&evidence](const auto &entry) {
+        return std::get<2>(entry.first) + retainedSlots < evidence.newestSlot;
+    });
+}
+
+std::vector<std::string> EvidenceTable::routes(const MoveId &move) const
+{
+    const auto found = moves_.find(move);
+    if (found == moves_.end())
+        return {};
+    std::set<std::string> routes;
+    for (const auto &[key, owners] : found->second.counts)
+        routes.insert(std::get<1>(key));
+    return {routes.begin(), routes.end()};
+}
+
+OutcomeSum EvidenceTable::sum(const MoveId &move, const VersionId &version,
+                              const std::string &route, std::uint64_t slot) const
+{
+    OutcomeSum total;
+    const auto found = moves_.find(move);
+    if (found == moves_.end())
+        return total;
+    for (const auto &[key, owners] : found->second.counts) {
+        if (std::get<0>(key) != version || std::get<2>(key) != slot)
+            continue;
+        if (!route.empty() && std::get<1>(key) != route)
+            continue;
+        for (const auto &[owner, count] : owners)
+            total += count;
+    }
+    return total;
+}
+
+void EvidenceTable::forget(const MoveId &move)
+{
+    moves_.erase(move);
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_core/versions/EvidenceTable.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "jy_base/ids/Ids.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace jy {
+
+/** Outcome counts of one version on one route in one time slot, as one owner saw them. */
+struct OutcomeCount
+{
+    MoveId move;
+    VersionId version;
+    std::string route;
+
+    /** Wall-clock time divided by the slot length of the fleet. */
+    std::uint64_t slot = 0;
+
+    std::uint32_t requests = 0;
+    std::uint32_t errors = 0;
+
+    /** Requests whose first token came later than the slow threshold. */
+    std::uint32_t slow = 0;
+
+    bool operator==(const OutcomeCount &) const = default;
+};
+
+/** Sums over owners. */
+struct OutcomeSum
+{
+    std::uint64_t requests = 0;
+    std::uint64_t errors = 0;
+    std::uint64_t slow = 0;
+
+    OutcomeSum &operator+=(const OutcomeSum &other);
+};
+
+/**
+ * Sums the outcome reports of all owners for the moves that this router judges.
+ *
+ * Each owner reports cumulative counts per slot, so a repeated, late or reordered report changes
+ * nothing: the larger count of a slot wins. Slots older than the retained window are dropped.
+ */
+class EvidenceTable
+{
+public:
+    /** Number of slots kept per move; older reports are ignored. */
+    static constexpr std::uint64_t retainedSlots = 240;
+
+    void add(const InstanceId &owner, const OutcomeCount &count);
+
+    /** Routes with any report for the move, of either version. */
+    std::vector<std::string> routes(const MoveId &move) const;
+
+    /** Sum of one slot; an empty route sums all routes. */
+    OutcomeSum sum(const MoveId &move, const VersionId &version, const std::string &route,
+                   std::uint64_t slot) const;
+
+    void forget(const MoveId &move);
+
+private:
+    using OwnerCounts = std::map<InstanceId, OutcomeSum>;
+    using SeriesKey = std::tuple<VersionId, std::string, std::uint64_t>;
+
+    struct MoveEvidence
+    {
+        std::uint64_t newestSlot = 0;
+        std::map<SeriesKey, OwnerCounts> counts;
+    };
+
+    std::map<MoveId, MoveEvidence> moves_;
+};
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_core/versions/VersionSelector.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "jy_core/model/DesiredState.h"
+#include "jy_core/versions/MoveBoard.h"
+
+namespace jy {
+
+/** The version that serves a chat, and the move that decided it. */
+struct SelectedVersion
+{
+    VersionId version;
+
+    /** The move that covers the chat, whichever version it chose; empty when there is none. */
+    MoveId move;
+};
+
+/**
+ * Selects the version of a model for a chat from the desired state and the moves in force.
+ *
+ * A move of the workspace outranks a move of the whole model.
+ *
+ * @param chatHash stable hash of the chat
+ */
+SelectedVersion selectVersion(const ModelSpec &model, const WorkspaceId &workspace,
+                              std::uint64_t chatHash, const MoveBoard &board);
+
+} // namespace jy
--- /dev/null
+++ b/tests/jy_core/VersionsCanaryTest.cpp
@@ -0,0 +1,133 @@
+#include "jy_core/versions/CanaryJudge.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+
+namespace {
+
+using jy::CanaryVerdict;
+
+const jy::MoveId move("m1");
+const jy::VersionId oldVersion("v1");
+const jy::VersionId newVersion("v2");
+
+/** Failure rates and traffic of one run. */
+struct Traffic
+{
+    const char *name;
+    double oldErrorRate;
+    double newErrorRate;
+    double newSlowRate;
+    const char *faultyRoute; // nullptr: all routes
+    int faultStartsAtSlot;
+    int newRequestsPerSlot;
+    bool bad;
+};
+
+class Trial
+{
+public:
+    explicit Trial(unsigned seed)
+        : random_(seed)
+    { }
+
+    /** Feeds slots until the verdict is Bad. @returns the slot of the verdict, or -1. */
+    int slotOfBadVerdict(const Traffic &traffic, int slots)
+    {
+        for (int slot = 1; slot <= slots; ++slot) {
+            for (const char *route : {"json", "stream"}) {
+                const bool faulty = slot >= traffic.faultStartsAtSlot
+                    && (traffic.faultyRoute == nullptr
+                        || route == std::string(traffic.faultyRoute));
+                add(oldVersion, route, slot, traffic.newRequestsPerSlot * 9, traffic.oldErrorRate,
+                    0.05);
+                add(newVersion, route, slot, traffic.newRequestsPerSlot,
+                    faulty ? traffic.newErrorRate : traffic.oldErrorRate,
+                    faulty ? traffic.newSlowRate : 0.05);
+            }
+            last = judge_.judge(evidence_, slot);
+            if (last.kind == CanaryVerdict::Kind::Bad)
+                return slot;
+        }
+        return -1;
+    }
+
+    CanaryVerdict last;
+
+private:
+    void add(const jy::VersionId &version, const char *route, int slot, int requests,
+             double errorRate, double slowRate)
+    {
+        const auto draw = [&](double rate) {
+            return std::binomial_distribution<std::uint32_t>(requests, rate)(random_);
+        };
+        evidence_.add(jy::InstanceId("r1"),
+                      {move, version, route, static_cast<std::uint64_t>(slot),
+                       static_cast<std::uint32_t>(requests), draw(errorRate), draw(slowRate)});
+    }
+
+    std::mt19937 random_;
+    jy::EvidenceTable evidence_;
+    jy::CanaryJudge judge_{{}, move, oldVersion, newVersion};
+};
+
+class CanaryFault : public testing::TestWithParam<Traffic>
+{ };
+
+// Guards against bad versions that stay in service and good ones that noise takes back.
+TEST_P(CanaryFault, IsFoundWithinThreeSecondsAndOnlyWhenPresent)
+{
+    constexpr int slots = 120;
+    constexpr int slotsInThreeSeconds = 6;
+    for (unsigned seed = 1; seed <= 40; ++seed) {
+        Trial run(seed);
+        const int found = run.slotOfBadVerdict(GetParam(), slots);
+        if (!GetParam().bad) {
+            EXPECT_EQ(found, -1) << "seed " << seed << ": " << run.last.reason;
+            EXPECT_EQ(run.last.kind, CanaryVerdict::Kind::Good) << "seed " << seed;
+            continue;
+        }
+        EXPECT_GE(found, GetParam().faultStartsAtSlot) << "seed " << seed;
+        EXPECT_LE(found, GetParam().faultStartsAtSlot + slotsInThreeSeconds) << "seed " << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults, CanaryFault,
+    testing::Values(Traffic{"good", 0.01, 0.01, 0.05, nullptr, 1, 5, false},
+                    Traffic{"good_with_failing_old_version", 0.2, 0.2, 0.05, nullptr, 1, 5, false},
+                    Traffic{"errors_at_once", 0.0, 0.8, 0.05, nullptr, 1, 5, true},
+                    Traffic{"errors_late", 0.01, 0.8, 0.05, nullptr, 80, 5, true},
+                    Traffic{"slow_late", 0.01, 0.01, 1.0, nullptr, 80, 5, true},
+                    Traffic{"errors_on_one_route", 0.01, 0.9, 0.05, "stream", 40, 5, true}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against double counting when reports are repeated, late or reordered.
+RC_GTEST_PROP(EvidenceTable, RepeatedAndReorderedReportsChangeNothing,
+              (const std::vector<std::uint8_t> &increments))
+{
+    std::vector<jy::OutcomeCount> reports;
+    std::uint32_t total = 0;
+    for (const auto increment : increments) {
+        total += increment;
+        reports.push_back({move, newVersion, "json", 1, total, 0, 0});
+    }
+    const auto shuffled = *rc::gen::map(rc::gen::just(reports), [](auto list) {
+        auto doubled = list;
+        doubled.insert(doubled.end(), list.begin(), list.end());
+        return doubled;
+    });
+    const auto order = *rc::gen::container<std::vector<std::size_t>>(
+        shuffled.size(),
+        rc::gen::inRange<std::size_t>(0, std::max<std::size_t>(shuffled.size(), 1)));
+    jy::EvidenceTable table;
+    for (const auto index : order)
+        table.add(jy::InstanceId("r1"), shuffled[index]);
+    for (const auto &report : shuffled)
+        table.add(jy::InstanceId("r1"), report);
+    RC_ASSERT(table.sum(move, newVersion, "", 1).requests == total);
+}
+
+} // namespace
