--- /dev/null
+++ b/tests/jy_runtime/LogTest.cpp
@@ -0,0 +1,51 @@
+#include "jy_runtime/jy_runtime.h"
+
+#include <gtest/gtest.h>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+struct QuotingCase
+{
+    const char *name;
+    std::string value;
+    std::string expected;
+};
+
+class LogQuoting : public testing::TestWithParam<QuotingCase>
+{ };
+
+// Guards against a value that forges another field or another log line.
+TEST_P(LogQuoting, KeepsOneEventOnOneLine)
+{
+    EXPECT_EQ(jy::formatLogLine("e", {{"k", GetParam().value}}),
+              "event=e k=" + GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Values, LogQuoting,
+    testing::Values(QuotingCase{"Plain", "10.0.0.1:80/x", "10.0.0.1:80/x"},
+                    QuotingCase{"Empty", "", R"("")"}, QuotingCase{"Space", "a b", R"("a b")"},
+                    QuotingCase{"Equals", "a=b", R"("a=b")"},
+                    QuotingCase{"Quote", "a\"b", R"("a\"b")"},
+                    QuotingCase{"Backslash", "a\\b", R"("a\\b")"},
+                    QuotingCase{"LineFeed", "a\nlevel=error", R"("a\nlevel=error")"},
+                    QuotingCase{"Control", std::string("a\x1b", 2), R"("a\u001b")"},
+                    QuotingCase{"Utf8", "Grüße", "Grüße"}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+// Guards against a field type that is written in another unit or form.
+TEST(Log, WritesEachFieldType)
+{
+    EXPECT_EQ(jy::formatLogLine("done",
+                                {{"request", jy::RequestId("r-1")},
+                                 {"count", 3},
+                                 {"share", 0.25},
+                                 {"ok", true},
+                                 {"total_ms", 1500ms},
+                                 {"text", "x"}}),
+              "event=done request=r-1 count=3 share=0.25 ok=true total_ms=1500 text=x");
+}
+
+} // namespace
