--- /dev/null
+++ b/modules/jy_core/placement/OwnershipMap.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "jy_base/ids/Ids.h"
+#include "jy_core/model/DesiredState.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace jy {
+
+/** A router that membership considers alive. */
+struct LiveRouter
+{
+    InstanceId id;
+    DomainId domain;
+    RegionId region;
+
+    /** The router is shutting down: it owns nothing and is in no lookup response. */
+    bool leaving = false;
+
+    bool operator==(const LiveRouter &) const = default;
+};
+
+/**
+ * The owner of each server: the live router of the server's region with the highest rendezvous
+ * score. Owners are cached until the routers change.
+ */
+class OwnershipMap
+{
+public:
+    /** Replaces the live routers. @returns whether an owner may have changed. */
+    bool setLiveRouters(std::vector<LiveRouter> routers);
+
+    const std::vector<LiveRouter> &liveRouters() const { return routers_; }
+
+    /** @returns an empty id when the region has no live router. */
+    const InstanceId &owner(const ServerId &server, const RegionId &region) const;
+
+    /** The owner if @p without did not exist: the owner before it joined. */
+    InstanceId ownerWithout(const ServerId &server, const RegionId &region,
+                            const InstanceId &without) const;
+
+    /**
+     * Routers that callers should use for a server, best first.
+     *
+     * The owner comes first, followed by the routers that would own the server next. Routers that
+     * leave or whose domain is out are excluded. Routers of other regions appear only when the
+     * server's region has none. With more than one eligible domain the result names at least two,
+     * so that callers who cache it survive the loss of a domain.
+     */
+    std::vector<InstanceId> lookupOrder(const ServerId &server, const RegionId &region,
+                                        const DesiredState &state, std::size_t maxCount) const;
+
+private:
+    std::vector<LiveRouter> routers_;
+    mutable std::unordered_map<ServerId, InstanceId> cache_;
+};
+
+} // namespace jy
