Parse and validate desired-state files

Operators need every fault of a file at once, and other modules need a parser for tests and tools. The reader reports path, value and what is allowed for types, ranges, unknown and duplicate keys; the validator checks references, moves and deadlines. Boost.JSON drops duplicate keys silently, so a streaming pass finds them. A deadline in the past is accepted for a move that is already in force, otherwise a file that still lists a finished move could not be applied again.

--- /dev/null
+++ b/modules/jy_core/config/WallTimeText.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "jy_base/time/TimeTypes.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace jy {
+
+/** Parses a UTC time "YYYY-MM-DDTHH:MM:SSZ" with optional milliseconds (RFC 3339). */
+std::optional<WallTime> parseWallTime(std::string_view text);
+
+/** Prints a time in the format that parseWallTime() reads; milliseconds only when not zero. */
+std::string wallTimeText(WallTime time);
+
+} // namespace jy
