--- a/modules/jy_http/client/HttpClient.h
+++ b/modules/jy_http/client/HttpClient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "jy_core/model/Endpoint.h"
+#include "jy_base/net/Endpoint.h"
 #include "jy_http/client/HttpStream.h"
 #include "jy_http/messages/Cancellation.h"
 #include "jy_runtime/fibers/EventLoop.h"
--- a/modules/jy_http/messages/HttpMessage.h
+++ b/modules/jy_http/messages/HttpMessage.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "jy_base/errors/Error.h"
-#include "jy_core/model/Endpoint.h"
+#include "jy_base/net/Endpoint.h"
 #include "jy_http/messages/HttpHeaders.h"
 
 #include <optional>
--- a/modules/jy_platform/engine/EngineTypes.h
+++ b/modules/jy_platform/engine/EngineTypes.h
@@ -2,7 +2,7 @@
 
 #include "jy_base/ids/Ids.h"
 #include "jy_base/time/TimeTypes.h"
-#include "jy_core/model/Endpoint.h"
+#include "jy_base/net/Endpoint.h"
 
 #include <chrono>
 #include <cstdint>
