--- /dev/null
+++ b/modules/jy_core/orders/OrderPlanner.cpp
@@ -0,0 +1,35 @@
+#include "jy_core/orders/OrderPlanner.h"
+
+namespace jy {
+
+namespace {
+
+/** The version that an empty engine of a model should load. */
+VersionId wantedVersion(const ModelSpec &model, const MoveBoard &board)
+{
+    for (const auto &move : model.moves) {
+        if (board.effective(move.id).state != MoveState::TakenBack)
+            return move.to;
+    }
+    return model.serve;
+}
+
+} // namespace
+
+std::vector<EngineOrder> planOrders(const DesiredState &state, const MoveBoard &board,
+                                    const std::vector<BackendServer> &servers)
+{
+    std::vector<EngineOrder> orders;
+    for (const auto &server : servers) {
+        if (server.kind != ServerKind::Engine || server.leaving || !server.version.empty())
+            continue;
+        const auto model = state.models.find(server.model);
+        if (model == state.models.end())
+            continue;
+        orders.push_back({server.id, server.model, wantedVersion(model->second, board),
+                          model->second.weightBytes, server.checksFencing});
+    }
+    return orders;
+}
+
+} // namespace jy
--- a/modules/jy_core/versions/EvidenceTable.cpp
+++ b/modules/jy_core/versions/EvidenceTable.cpp
@@ -10,6 +10,10 @@
     requests += other.requests;
     errors += other.errors;
     slow += other.slow;
+    cacheHits += other.cacheHits;
+    hitFirstTokenMs += other.hitFirstTokenMs;
+    cacheMisses += other.cacheMisses;
+    missFirstTokenMs += other.missFirstTokenMs;
     return *this;
 }
 
@@ -20,9 +24,11 @@
     if (count.slot + retainedSlots < evidence.newestSlot)
         return;
     auto &held = evidence.counts[{count.version, count.route, count.slot}][owner];
-    held.requests = std::max<std::uint64_t>(held.requests, count.requests);
-    held.errors = std::max<std::uint64_t>(held.errors, count.errors);
-    held.slow = std::max<std::uint64_t>(held.slow, count.slow);
+    // Counts of a slot only grow, so a report with fewer requests is an older one.
+    if (count.requests >= held.requests)
+        held = {count.requests,        count.errors,          count.slow,
+                count.cacheHits,       count.hitFirstTokenMs, count.cacheMisses,
+                count.missFirstTokenMs};
     std::erase_if(evidence.counts, [&evidence](const auto &entry) {
         return std::get<2>(entry.first) + retainedSlots < evidence.newestSlot;
     });
@@ -57,6 +63,21 @@
     return total;
 }
 
+OutcomeSum EvidenceTable::total(const MoveId &move, const VersionId &version) const
+{
+    OutcomeSum total;
+    const auto found = moves_.find(move);
+    if (found == moves_.end())
+        return total;
+    for (const auto &[key, owners] : found->second.counts) {
+        if (std::get<0>(key) != version)
+            continue;
+        for (const auto &[owner, count] : owners)
+            total += count;
+    }
+    return total;
+}
+
 void EvidenceTable::forget(const MoveId &move)
 {
     moves_.erase(move);
--- a/modules/jy_core/versions/EvidenceTable.h
+++ b/modules/jy_core/versions/EvidenceTable.h
@@ -26,6 +26,14 @@
     /** Requests whose first token came later than the slow threshold. */
     std::uint32_t slow = 0;
 
+    /** Requests that reused a cached prefix, and the sum of their times to first token. */
+    std::uint32_t cacheHits = 0;
+    std::uint64_t hitFirstTokenMs = 0;
+
+    /** Sum of the times to first token of the other successful requests, and their number. */
+    std::uint32_t cacheMisses = 0;
+    std::uint64_t missFirstTokenMs = 0;
+
     bool operator==(const OutcomeCount &) const = default;
 };
 
@@ -35,6 +43,10 @@
     std::uint64_t requests = 0;
     std::uint64_t errors = 0;
     std::uint64_t slow = 0;
+    std::uint64_t cacheHits = 0;
+    std::uint64_t hitFirstTokenMs = 0;
+    std::uint64_t cacheMisses = 0;
+    std::uint64_t missFirstTokenMs = 0;
 
     OutcomeSum &operator+=(const OutcomeSum &other);
 };
@@ -60,6 +72,9 @@
     OutcomeSum sum(const MoveId &move, const VersionId &version, const std::string &route,
                    std::uint64_t slot) const;
 
+    /** Sum of all retained slots of a version over all routes. */
+    OutcomeSum total(const MoveId &move, const VersionId &version) const;
+
     void forget(const MoveId &move);
 
 private:
