--- /dev/null
+++ b/modules/jy_core/limits/RetryBudget.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "jy_base/time/TimeTypes.h"
+
+#include <array>
+#include <cstddef>
+
+namespace jy {
+
+struct RetryBudgetSettings
+{
+    /** Retries as a share of first attempts. */
+    double share = 0.1;
+
+    /** Retries that are allowed regardless of the number of first attempts. */
+    double minimumPerSecond = 0.1;
+};
+
+/**
+ * Retry budget of one router over a sliding window of 10 s.
+ *
+ * The budget is a share of the router's own first attempts, so the sum over the fleet has the same
+ * bound without any exchange of messages.
+ */
+class RetryBudget
+{
+public:
+    explicit RetryBudget(const RetryBudgetSettings &settings);
+
+    void setShare(double share) { settings_.share = share; }
+
+    /** Counts a first attempt. */
+    void recordAttempt(TimePoint now);
+
+    /** @returns whether a retry is within the budget, and counts it if so. */
+    bool tryRetry(TimePoint now);
+
+    static constexpr std::size_t windowSeconds = 10;
+
+private:
+    struct Slot
+    {
+        std::int64_t second = -1;
+        int attempts = 0;
+        int retries = 0;
+    };
+
+    Slot &slotFor(TimePoint now);
+
+    RetryBudgetSettings settings_;
+    std::array<Slot, windowSeconds> slots_;
+};
+
+} // namespace jy
