Add the ledger of owned servers

The owner must keep a true count of what is in flight when messages are lost, repeated or late and when ownership changes. Add ServerLedger and OwnerLedger with recovery, hand-off, expiry, bounded load and queueing. Property tests cover random interleavings of one and two owners.

--- /dev/null
+++ b/modules/jy_core/ledger/OwnerLedger.cpp
@@ -0,0 +1,298 @@
+#include "jy_core/ledger/OwnerLedger.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace jy {
+
+namespace {
+
+// Pool totals are up to two report intervals old; a pool that is this full counts as saturated.
+constexpr double saturatedShare = 0.9;
+
+Error notOwner(const ServerId &server)
+{
+    return {ErrorKind::NotOwner, "this router does not own server " + server.value(), {}};
+}
+
+} // namespace
+
+OwnerLedger::OwnerLedger(LedgerSettings settings)
+    : settings_(std::move(settings))
+{ }
+
+void OwnerLedger::acquire(const OwnedServerSpec &spec, bool previousOwnerLive, TimePoint now)
+{
+    noticePause(now);
+    if (auto *ledger = ledgerOf(spec.id)) {
+        ledger->setSpec(spec);
+        return;
+    }
+    LastKnown last;
+    if (const auto known = lastKnown_.find(spec.id); known != lastKnown_.end())
+        last = known->second;
+    servers_.try_emplace(spec.id, spec, settings_, last, previousOwnerLive, now);
+}
+
+void OwnerLedger::acceptHandOff(const OwnedServerSpec &spec, const HandOffState &state,
+                                TimePoint now)
+{
+    noticePause(now);
+    acquire(spec, false, now);
+    auto &ledger = servers_.at(spec.id);
+    ledger.acceptHandOff(state, now);
+    advance(ledger, now);
+}
+
+std::optional<HandOffState> OwnerLedger::handOff(const ServerId &server, TimePoint now)
+{
+    noticePause(now);
+    auto *ledger = ledgerOf(server);
+    if (ledger == nullptr)
+        return std::nullopt;
+    ledger->drainQueue(notOwner(server), actions_);
+    auto state = ledger->handOff(now);
+    lastKnown_[server] = ledger->lastKnown();
+    servers_.erase(server);
+    return state;
+}
+
+void OwnerLedger::remove(const ServerId &server, TimePoint now)
+{
+    handOff(server, now);
+    lastKnown_.erase(server);
+    forgetExceptionsTo(server);
+}
+
+ReserveResult OwnerLedger::reserve(const ReserveInput &input, TimePoint now)
+{
+    noticePause(now);
+    auto *ledger = ledgerOf(input.server);
+    if (ledger == nullptr)
+        return Refused{notOwner(input.server)};
+    auto result = ledger->reserve(input, nextSequence_++, boundFor(*ledger, now), now);
+    advance(*ledger, now);
+    return result;
+}
+
+Result<void> OwnerLedger::release(const ReleaseInput &input, TimePoint now)
+{
+    noticePause(now);
+    auto *ledger = ledgerOf(input.server);
+    if (ledger == nullptr)
+        return failure(ErrorKind::NotOwner, notOwner(input.server).message);
+    ledger->release(input, now);
+    advance(*ledger, now);
+    return success();
+}
+
+std::vector<ServerId> OwnerLedger::report(const InstanceId &holder,
+                                          const std::vector<HeldReservation> &held, TimePoint now)
+{
+    noticePause(now);
+    std::map<ServerId, std::vector<HeldReservation>> byServer;
+    for (const auto &reservation : held)
+        byServer[reservation.server].push_back(reservation);
+    for (auto &[id, ledger] : servers_) {
+        ledger.report(holder, byServer[id], now, actions_);
+        advance(ledger, now);
+    }
+    std::vector<ServerId> unknown;
+    for (const auto &[id, reservations] : byServer) {
+        if (!owns(id))
+            unknown.push_back(id);
+    }
+    return unknown;
+}
+
+void OwnerLedger::holderGone(const InstanceId &holder, TimePoint now)
+{
+    noticePause(now);
+    for (auto &[id, ledger] : servers_)
+        ledger.holderGone(holder, now);
+}
+
+void OwnerLedger::previousOwnerGone(const ServerId &server, TimePoint now)
+{
+    noticePause(now);
+    if (auto *ledger = ledgerOf(server))
+        ledger->previousOwnerGone(now);
+}
+
+void OwnerLedger::cancel(const ServerId &server, std::uint64_t ticket)
+{
+    if (auto *ledger = ledgerOf(server))
+        ledger->cancel(ticket);
+}
+
+void OwnerLedger::recordException(const ServerId &home, std::uint64_t chatHash,
+                                  const ServerId &server, TimePoint now)
+{
+    if (auto *ledger = ledgerOf(home); ledger != nullptr && chatHash != 0 && server != home)
+        ledger->exceptions().record(chatHash, server, now);
+}
+
+void OwnerLedger::forgetExceptionsTo(const ServerId &server)
+{
+    for (auto &[id, ledger] : servers_)
+        ledger.exceptions().forgetServer(server);
+}
+
+void OwnerLedger::setClosed(const ServerId &server, std::optional<Error> reason, TimePoint now)
+{
+    noticePause(now);
+    if (auto *ledger = ledgerOf(server))
+        ledger->setClosed(std::move(reason), actions_);
+}
+
+void OwnerLedger::setStartIdentity(const ServerId &server, const std::string &identity,
+                                   TimePoint now)
+{
+    noticePause(now);
+    if (auto *ledger = ledgerOf(server))
+        ledger->setStartIdentity(identity, now);
+}
+
+void OwnerLedger::setMinorityPartition(bool minority, TimePoint now)
+{
+    noticePause(now);
+    // The other side may have acted as the owner; holders need time to report again.
+    if (std::exchange(minority_, minority) && !minority) {
+        for (auto &[id, ledger] : servers_)
+            ledger.enterRecovery(now);
+    }
+}
+
+PoolLoad OwnerLedger::ownLoad(const std::string &pool, TimePoint now) const
+{
+    PoolLoad load;
+    const PoolBound unbounded{.restricted = minority_};
+    for (const auto &[id, ledger] : servers_) {
+        if (ledger.spec().pool != pool)
+            continue;
+        load.inFlight += ledger.inFlight();
+        load.queued += ledger.queued();
+        if (ledger.closed())
+            continue;
+        load.servers += 1;
+        load.limit += ledger.effectiveLimit(unbounded, now);
+    }
+    return load;
+}
+
+std::map<std::string, PoolLoad> OwnerLedger::poolReports(TimePoint now)
+{
+    noticePause(now);
+    std::map<std::string, PoolLoad> reports;
+    for (const auto &[id, ledger] : servers_) {
+        const auto &name = ledger.spec().pool;
+        if (!reports.contains(name))
+            reports[name] = ownLoad(name, now);
+    }
+    for (const auto &[name, load] : reports)
+        pools_[name].own = load;
+    std::erase_if(pools_, [&](const auto &item) { return !reports.contains(item.first); });
+    return reports;
+}
+
+void OwnerLedger::setPoolTotals(const std::string &name, const PoolLoad &totals, TimePoint now)
+{
+    noticePause(now);
+    auto &pool = pools_[name];
+    pool.totals = totals;
+    pool.reportedInFlight = pool.own.inFlight;
+    for (auto &[id, ledger] : servers_) {
+        if (ledger.spec().pool == name)
+            advance(ledger, now);
+    }
+}
+
+PoolBound OwnerLedger::boundFor(const ServerLedger &ledger, TimePoint now) const
+{
+    const auto &spec = ledger.spec();
+    PoolLoad load = ownLoad(spec.pool, now);
+    const auto pool = pools_.find(spec.pool);
+    if (pool != pools_.end() && pool->second.totals) {
+        const auto &totals = *pool->second.totals;
+        const int others = std::max(0, totals.inFlight - pool->second.reportedInFlight);
+        load.inFlight += others;
+        load.servers = std::max(load.servers, totals.servers);
+        load.limit = std::max(load.limit, totals.limit);
+    }
+    const double mean = static_cast<double>(load.inFlight + 1) / std::max(1, load.servers);
+    const int bound = static_cast<int>(std::ceil(spec.loadMultiple * mean));
+    return {.bound = std::max(spec.loadFloor, bound),
+            .saturated = load.inFlight >= saturatedShare * load.limit,
+            .restricted = minority_};
+}
+
+void OwnerLedger::advance(ServerLedger &ledger, TimePoint now)
+{
+    ledger.advance(boundFor(ledger, now), nextSequence_, now, actions_);
+}
+
+void OwnerLedger::tick(TimePoint now)
+{
+    noticePause(now);
+    for (auto &[id, ledger] : servers_)
+        advance(ledger, now);
+}
+
+void OwnerLedger::noticePause(TimePoint now)
+{
+    const bool paused = lastStep_ != TimePoint{} && now - lastStep_ > settings_.pauseThreshold;
+    lastStep_ = std::max(lastStep_, now);
+    if (!paused)
+        return;
+    for (auto &[id, ledger] : servers_)
+        ledger.enterRecovery(now);
+}
+
+LedgerActions OwnerLedger::takeActions()
+{
+    return std::exchange(actions_, {});
+}
+
+std::vector<ServerId> OwnerLedger::owned() const
+{
+    std::vector<ServerId> result;
+    result.reserve(servers_.size());
+    for (const auto &[id, ledger] : servers_)
+        result.push_back(id);
+    return result;
+}
+
+std::vector<OwnedServerView> OwnerLedger::views(TimePoint now) const
+{
+    std::vector<OwnedServerView> result;
+    result.reserve(servers_.size());
+    for (const auto &[id, ledger] : servers_) {
+        const auto bound = boundFor(ledger, now);
+        result.push_back({.server = id,
+                          .inFlight = ledger.inFlight(),
+                          .queued = ledger.queued(),
+                          .limit = ledger.effectiveLimit(bound, now),
+                          .bound = bound.bound,
+                          .cold = ledger.cold(),
+                          .recovering = ledger.recovering(now),
+                          .closed = ledger.closed()});
+    }
+    return result;
+}
+
+ServerLedger *OwnerLedger::ledgerOf(const ServerId &server)
+{
+    const auto found = servers_.find(server);
+    return found == servers_.end() ? nullptr : &found->second;
+}
+
+std::size_t OwnerLedger::memoryBytes() const
+{
+    std::size_t bytes = sizeof(*this);
+    for (const auto &[id, ledger] : servers_)
+        bytes += ledger.memoryBytes();
+    return bytes;
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_core/ledger/ServerLedger.cpp
@@ -0,0 +1,352 @@
+#include "jy_core/ledger/ServerLedger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jy {
+
+namespace {
+
+// Longer than any report or hand-off can be under way: their calls time out after 2 s, and a
+// paused sender repeats them for at most a few seconds.
+constexpr Duration releaseMemory = std::chrono::seconds(10);
+
+constexpr int recoveryIntervals = 2;
+constexpr int recoveryDivisor = 4;
+constexpr double meanTotalWeight = 0.1;
+
+// A first estimate for callers that ask when to come back, until a request has finished.
+constexpr std::chrono::milliseconds defaultRetryAfter{500};
+
+ConcurrencySettings concurrencySettings(const OwnedServerSpec &spec, double lastLimit)
+{
+    ConcurrencySettings settings;
+    settings.maximum = spec.maxConcurrency;
+    if (lastLimit > 0)
+        settings.initial = lastLimit;
+    return settings;
+}
+
+} // namespace
+
+ServerLedger::ServerLedger(OwnedServerSpec spec, const LedgerSettings &settings,
+                           const LastKnown &last, bool previousOwnerLive, TimePoint now)
+    : spec_(std::move(spec))
+    , settings_(settings)
+    , limit_(concurrencySettings(spec_, last.limit))
+    , ramp_(settings.coldStart)
+    , queue_(settings.queueLength)
+    , exceptions_(settings.exceptionCapacity)
+    , recoveryBase_(last.limit)
+    , waitForPrevious_(previousOwnerLive)
+    , recoveryUntil_(now + recoveryIntervals * settings.reportInterval)
+{
+    // A restart since then shows as a different start identity in the first probe.
+    ramp_.restore(last.cold, last.startIdentity, now);
+}
+
+void ServerLedger::setSpec(OwnedServerSpec spec)
+{
+    spec_ = std::move(spec);
+    limit_.setMaximum(spec_.maxConcurrency);
+}
+
+int ServerLedger::effectiveLimit(const PoolBound &pool, TimePoint now) const
+{
+    int limit = static_cast<int>(limit_.limit());
+    if (ramp_.cold())
+        limit = std::min(limit, ramp_.limit());
+    if (recovering(now) || pool.restricted) {
+        const double base = recovering(now) ? recoveryBase_ : limit_.limit();
+        limit = std::min(limit, std::max(1, static_cast<int>(base) / recoveryDivisor));
+    }
+    return limit;
+}
+
+ReserveResult ServerLedger::reserve(const ReserveInput &input, std::uint64_t sequence,
+                                    const PoolBound &pool, TimePoint now)
+{
+    if (closed_)
+        return Refused{*closed_};
+    if (input.chatHash != 0 && !input.displaced) {
+        const auto other = exceptions_.find(input.chatHash, now);
+        if (other && *other != spec_.id)
+            return Redirected{*other};
+    }
+    const int limit = effectiveLimit(pool, now);
+    if (queue_.empty() && inFlight() < limit && inFlight() < pool.bound) {
+        const ReservationKey key{settings_.self, settings_.incarnation, sequence};
+        add(key, {.holder = input.holder, .workspace = input.workspace, .renewed = now});
+        if (input.chatHash != 0)
+            exceptions_.erase(input.chatHash);
+        return Granted{key};
+    }
+    if ((pool.saturated || input.lastResort) && input.maxWait > Duration::zero())
+        return enqueue(input, sequence, pool, now);
+    return Refused{refusalFor(pool, now)};
+}
+
+ReserveResult ServerLedger::enqueue(const ReserveInput &input, std::uint64_t ticket,
+                                    const PoolBound &pool, TimePoint now)
+{
+    QueueEntry entry{.ticket = ticket,
+                     .workspace = input.workspace,
+                     .weight = input.weight,
+                     .priority = input.priority,
+                     .deadline = now + input.maxWait};
+    const auto slotTime = meanTotal_ / std::max(1, effectiveLimit(pool, now));
+    const auto pushed = queue_.push(std::move(entry), workspaces_, slotTime, now);
+    if (!pushed)
+        return Refused{pushed.error()};
+    waiting_[ticket] = input.holder;
+    if (pushed.value())
+        evicted_.push_back(pushed.value()->ticket);
+    return Queued{ticket};
+}
+
+Error ServerLedger::refusalFor(const PoolBound &pool, TimePoint now) const
+{
+    const auto describe = [&](const char *reason, int limit) {
+        return "server " + spec_.id.value() + " has " + std::to_string(inFlight())
+            + " requests in flight, " + reason + ' ' + std::to_string(limit);
+    };
+    const int limit = effectiveLimit(pool, now);
+    if (inFlight() >= pool.bound && pool.bound <= limit)
+        return {ErrorKind::OverBound, describe("the bound of its pool is", pool.bound),
+                retryAfter()};
+    if (ramp_.cold() || recovering(now) || pool.restricted)
+        return {ErrorKind::Cold, describe("its limit after a start or change of owner is", limit),
+                retryAfter()};
+    return {ErrorKind::Overloaded, describe("its limit is", limit), retryAfter()};
+}
+
+std::chrono::milliseconds ServerLedger::retryAfter() const
+{
+    if (meanTotal_ <= Duration::zero())
+        return defaultRetryAfter;
+    return std::chrono::ceil<std::chrono::milliseconds>(meanTotal_);
+}
+
+void ServerLedger::add(const ReservationKey &key, Entry entry)
+{
+    const auto workspace = entry.workspace;
+    if (entries_.emplace(key, std::move(entry)).second)
+        workspaces_.start(workspace);
+}
+
+void ServerLedger::remove(const ReservationKey &key)
+{
+    const auto found = entries_.find(key);
+    if (found == entries_.end())
+        return;
+    workspaces_.finish(found->second.workspace);
+    entries_.erase(found);
+}
+
+void ServerLedger::release(const ReleaseInput &input, TimePoint now)
+{
+    const bool known = entries_.contains(input.key);
+    const int before = inFlight();
+    remove(input.key);
+    rememberRelease(input.key, now);
+    if (!known || !input.hasSample)
+        return;
+    if (input.sample.ok) {
+        meanTotal_ = meanTotal_ <= Duration::zero() ? input.sample.total
+                                                    : meanTotal_
+                + std::chrono::duration_cast<Duration>(meanTotalWeight
+                                                       * (input.sample.total - meanTotal_));
+    }
+    ramp_.onSample(input.sample, now);
+    limit_.onSample(input.sample, before, now);
+    ramp_.endIfReached(limit_.limit());
+}
+
+void ServerLedger::rememberRelease(const ReservationKey &key, TimePoint now)
+{
+    if (released_.insert(key).second)
+        releasedOrder_.emplace_back(now, key);
+}
+
+void ServerLedger::report(const InstanceId &holder, const std::vector<HeldReservation> &held,
+                          TimePoint now, LedgerActions &actions)
+{
+    goneSince_.erase(holder);
+    std::set<ReservationKey> named;
+    for (const auto &reservation : held) {
+        if (released_.contains(reservation.key))
+            continue;
+        named.insert(reservation.key);
+        const auto found = entries_.find(reservation.key);
+        if (found == entries_.end()) {
+            add(reservation.key,
+                {.holder = holder, .workspace = reservation.workspace, .renewed = now});
+        } else if (found->second.holder == holder) {
+            found->second.renewed = now;
+            found->second.confirmed = true;
+        }
+    }
+    // A reservation that its holder does not list was granted by a reply that the holder never
+    // received. One report may have been sent before the reply arrived, hence the expiry time.
+    std::erase_if(entries_, [&](const auto &item) {
+        const auto &[key, entry] = item;
+        if (entry.holder != holder || named.contains(key) || now - entry.renewed < settings_.expiry)
+            return false;
+        workspaces_.finish(entry.workspace);
+        actions.emplace_back(ReservationExpired{spec_.id, key, holder});
+        return true;
+    });
+}
+
+void ServerLedger::holderGone(const InstanceId &holder, TimePoint now)
+{
+    goneSince_.try_emplace(holder, now);
+}
+
+void ServerLedger::expireReservations(TimePoint now, LedgerActions &actions)
+{
+    std::erase_if(entries_, [&](const auto &item) {
+        const auto &[key, entry] = item;
+        const bool mayExpire = !entry.confirmed || goneSince_.contains(entry.holder);
+        if (!mayExpire || now - entry.renewed < settings_.expiry)
+            return false;
+        workspaces_.finish(entry.workspace);
+        actions.emplace_back(ReservationExpired{spec_.id, key, entry.holder});
+        return true;
+    });
+    std::erase_if(goneSince_, [&](const auto &item) {
+        return now - item.second > releaseMemory
+            && std::none_of(entries_.begin(), entries_.end(),
+                            [&](const auto &entry) { return entry.second.holder == item.first; });
+    });
+    while (!releasedOrder_.empty() && now - releasedOrder_.front().first > releaseMemory) {
+        released_.erase(releasedOrder_.front().second);
+        releasedOrder_.pop_front();
+    }
+}
+
+void ServerLedger::advance(const PoolBound &pool, std::uint64_t &nextSequence, TimePoint now,
+                           LedgerActions &actions)
+{
+    for (const auto ticket : std::exchange(evicted_, {})) {
+        waiting_.erase(ticket);
+        actions.emplace_back(RefuseQueued{
+            ticket,
+            {ErrorKind::WorkspaceLimited,
+             "the queue is full and the workspace is above its fair share", retryAfter()}});
+    }
+    expireReservations(now, actions);
+    for (const auto &entry : queue_.expire(now)) {
+        waiting_.erase(entry.ticket);
+        actions.emplace_back(RefuseQueued{
+            entry.ticket, {ErrorKind::Overloaded, "no place became free in time", retryAfter()}});
+    }
+    while (inFlight() < effectiveLimit(pool, now) && inFlight() < pool.bound) {
+        const auto entry = queue_.pop(workspaces_);
+        if (!entry)
+            break;
+        const ReservationKey key{settings_.self, settings_.incarnation, nextSequence++};
+        const auto waiting = waiting_.extract(entry->ticket);
+        add(key, {.holder = waiting.mapped(), .workspace = entry->workspace, .renewed = now});
+        actions.emplace_back(GrantQueued{entry->ticket, key});
+    }
+}
+
+bool ServerLedger::cancel(std::uint64_t ticket)
+{
+    waiting_.erase(ticket);
+    return queue_.cancel(ticket);
+}
+
+void ServerLedger::drainQueue(const Error &reason, LedgerActions &actions)
+{
+    for (const auto &entry : queue_.drain())
+        actions.emplace_back(RefuseQueued{entry.ticket, reason});
+    for (const auto ticket : std::exchange(evicted_, {}))
+        actions.emplace_back(RefuseQueued{ticket, reason});
+    waiting_.clear();
+}
+
+void ServerLedger::setClosed(std::optional<Error> reason, LedgerActions &actions)
+{
+    closed_ = std::move(reason);
+    if (closed_)
+        drainQueue(*closed_, actions);
+}
+
+void ServerLedger::setStartIdentity(const std::string &identity, TimePoint now)
+{
+    ramp_.onStartIdentity(identity, now);
+}
+
+void ServerLedger::enterRecovery(TimePoint now)
+{
+    if (!recovering(now))
+        recoveryBase_ = limit_.limit();
+    recoveryUntil_ = now + recoveryIntervals * settings_.reportInterval;
+}
+
+void ServerLedger::previousOwnerGone(TimePoint now)
+{
+    if (!std::exchange(waitForPrevious_, false))
+        return;
+    recoveryUntil_ = std::max(recoveryUntil_, now + recoveryIntervals * settings_.reportInterval);
+}
+
+HandOffState ServerLedger::handOff(TimePoint now) const
+{
+    HandOffState state{.server = spec_.id,
+                       .limit = recovering(now) ? 0 : limit_.limit(),
+                       .cold = ramp_.cold(),
+                       .startIdentity = ramp_.startIdentity(),
+                       .baselineFirstTokenMs = limit_.baselineMs(),
+                       .exceptions = exceptions_.items()};
+    for (const auto &[key, entry] : entries_)
+        state.inFlight.push_back({key, spec_.id, entry.workspace, entry.holder});
+    return state;
+}
+
+LastKnown ServerLedger::lastKnown() const
+{
+    return {.limit = limit_.limit(), .cold = ramp_.cold(), .startIdentity = ramp_.startIdentity()};
+}
+
+void ServerLedger::acceptHandOff(const HandOffState &state, TimePoint now)
+{
+    for (const auto &held : state.inFlight) {
+        if (!released_.contains(held.key)) {
+            add(held.key,
+                {.holder = held.holder,
+                 .workspace = held.workspace,
+                 .renewed = now,
+                 .confirmed = false});
+        }
+    }
+    for (const auto &item : state.exceptions)
+        exceptions_.record(item.chatHash, item.server, now);
+    if (!recovering(now))
+        return; // a late or repeated hand-off must not replace newer limits
+    if (state.limit <= 0) {
+        previousOwnerGone(now);
+        return;
+    }
+    waitForPrevious_ = false;
+    recoveryUntil_ = now;
+    limit_.setLimit(state.limit);
+    limit_.setBaselineMs(state.baselineFirstTokenMs);
+    const bool restarted =
+        !ramp_.startIdentity().empty() && ramp_.startIdentity() != state.startIdentity;
+    if (!restarted)
+        ramp_.restore(state.cold, state.startIdentity, now);
+}
+
+std::size_t ServerLedger::memoryBytes() const
+{
+    constexpr std::size_t treeNode = 4 * sizeof(void *);
+    return sizeof(*this) + exceptions_.memoryBytes()
+        + entries_.size() * (treeNode + sizeof(ReservationKey) + sizeof(Entry))
+        + released_.size() * (treeNode + 2 * sizeof(ReservationKey) + sizeof(TimePoint))
+        + workspaces_.workspaces() * (treeNode + sizeof(WorkspaceId) + sizeof(int));
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_core/ledger/ServerLedger.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "jy_core/ledger/LedgerTypes.h"
+#include "jy_core/limits/FairShare.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace jy {
+
+/**
+ * The ledger of one owned server: reservations, limit, cold-start ramp, queue and exceptions.
+ *
+ * A new ledger is in recovery: it admits a quarter of the last known limit, at least 1, and counts
+ * what holders report. Recovery ends with a hand-off, or two report intervals after the previous
+ * owner is known to be gone. Together with the previous owner, which admits up to its limit, the
+ * sum stays within limit + max(1, limit / 4).
+ */
+class ServerLedger
+{
+public:
+    /**
+     * @param last what this router knows from owning the server before; default if it never did
+     * @param previousOwnerLive whether another live router may still act as the owner
+     */
+    ServerLedger(OwnedServerSpec spec, const LedgerSettings &settings, const LastKnown &last,
+                 bool previousOwnerLive, TimePoint now);
+
+    const OwnedServerSpec &spec() const { return spec_; }
+    void setSpec(OwnedServerSpec spec);
+
+    /** @param sequence number for the key if the request is granted, also the ticket if queued */
+    ReserveResult reserve(const ReserveInput &input, std::uint64_t sequence, const PoolBound &pool,
+                          TimePoint now);
+
+    /** Ends a reservation. A repeated or late release changes nothing. */
+    void release(const ReleaseInput &input, TimePoint now);
+
+    /** Renews the reservations of a holder, which lists all that it has at this server. */
+    void report(const InstanceId &holder, const std::vector<HeldReservation> &held, TimePoint now,
+                LedgerActions &actions);
+
+    void holderGone(const InstanceId &holder, TimePoint now);
+
+    /** Removes a queued request whose caller has left. */
+    bool cancel(std::uint64_t ticket);
+
+    /** Sets or clears the reason for which the server takes no new work. */
+    void setClosed(std::optional<Error> reason, LedgerActions &actions);
+
+    /** Reports the start identity that a probe returned. */
+    void setStartIdentity(const std::string &identity, TimePoint now);
+
+    /** Enters recovery again: another router may have become the owner meanwhile. */
+    void enterRecovery(TimePoint now);
+
+    void previousOwnerGone(TimePoint now);
+
+    HandOffState handOff(TimePoint now) const;
+    LastKnown lastKnown() const;
+    void acceptHandOff(const HandOffState &state, TimePoint now);
+
+    /** Expires reservations and queue entries, then grants queued requests that fit. */
+    void advance(const PoolBound &pool, std::uint64_t &nextSequence, TimePoint now,
+                 LedgerActions &actions);
+
+    /** Refuses everything that is queued. */
+    void drainQueue(const Error &reason, LedgerActions &actions);
+
+    int inFlight() const { return static_cast<int>(entries_.size()); }
+    int queued() const { return static_cast<int>(queue_.size()); }
+    bool closed() const { return closed_.has_value(); }
+    bool cold() const { return ramp_.cold(); }
+    bool recovering(TimePoint now) const { return waitForPrevious_ || now < recoveryUntil_; }
+    double concurrencyLimit() const { return limit_.limit(); }
+
+    /** The limit now, with ramp and recovery applied. */
+    int effectiveLimit(const PoolBound &pool, TimePoint now) const;
+
+    ExceptionTable &exceptions() { return exceptions_; }
+
+    /** Bytes of reservations, release records and exceptions, estimated from their sizes. */
+    std::size_t memoryBytes() const;
+
+private:
+    struct Entry
+    {
+        InstanceId holder;
+        WorkspaceId workspace;
+        TimePoint renewed;
+
+        /** The holder itself has shown that it has the reservation. */
+        bool confirmed = true;
+    };
+
+    void add(const ReservationKey &key, Entry entry);
+    void remove(const ReservationKey &key);
+    void expireReservations(TimePoint now, LedgerActions &actions);
+    void rememberRelease(const ReservationKey &key, TimePoint now);
+    Error refusalFor(const PoolBound &pool, TimePoint now) const;
+    ReserveResult enqueue(const ReserveInput &input, std::uint64_t ticket, const PoolBound &pool,
+                          TimePoint now);
+    std::chrono::milliseconds retryAfter() const;
+
+    OwnedServerSpec spec_;
+    LedgerSettings settings_;
+    ConcurrencyLimit limit_;
+    ColdStartRamp ramp_;
+    RequestQueue queue_;
+    FairShare workspaces_;
+    ExceptionTable exceptions_;
+    std::optional<Error> closed_;
+
+    std::map<ReservationKey, Entry> entries_;
+    std::map<InstanceId, TimePoint> goneSince_;
+
+    // Reports and hand-offs that were sent before a release may arrive after it; without this
+    // record they would bring the reservation back.
+    std::set<ReservationKey> released_;
+    std::deque<std::pair<TimePoint, ReservationKey>> releasedOrder_;
+
+    /** Holder of each queued ticket. */
+    std::map<std::uint64_t, InstanceId> waiting_;
+
+    /** Tickets that made room in a full queue; advance() refuses them. */
+    std::vector<std::uint64_t> evicted_;
+
+    double recoveryBase_;
+    bool waitForPrevious_;
+    TimePoint recoveryUntil_;
+
+    /** Mean time of a request, for the expected wait in the queue. */
+    Duration meanTotal_{0};
+};
+
+} // namespace jy
