--- /dev/null
+++ b/modules/jy_core/config/ConfigDifference.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "jy_core/model/DesiredState.h"
+
+#include <string>
+#include <vector>
+
+namespace jy {
+
+/** One value that differs between two states. */
+struct ConfigChange
+{
+    /** Keys from the root, joined by dots. */
+    std::string path;
+
+    /** Values as JSON; empty where the path does not exist. */
+    std::string before;
+    std::string after;
+
+    bool operator==(const ConfigChange &) const = default;
+};
+
+using ConfigDifference = std::vector<ConfigChange>;
+
+/** All values that differ, apart from the revision, in the order of the file. */
+ConfigDifference differenceOf(const DesiredState &before, const DesiredState &after);
+
+/** One line per change: "+ path: value", "- path: value" or "~ path: before -> after". */
+std::string toString(const ConfigDifference &difference, std::size_t mostLines = 50);
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_core/config/ConfigParts.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "jy_base/errors/Error.h"
+#include "jy_core/model/DesiredState.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jy {
+
+/** Keys of the configuration in the KV service. */
+constexpr std::string_view configHeadKey = "jy/config/head";
+std::string configPartKey(std::string_view hash);
+
+/** A revision and the request that created it. */
+struct AppliedRequest
+{
+    std::uint64_t revision = 0;
+    std::string requestId;
+
+    bool operator==(const AppliedRequest &) const = default;
+};
+
+/** The head document: names the content of every part of one revision. */
+struct ConfigHead
+{
+    std::uint64_t revision = 0;
+    std::string requestId;
+    std::string author;
+
+    /** Part name to content hash. A section without entries has no part. */
+    std::map<std::string, std::string> parts;
+
+    /**
+     * Earlier revisions, newest first. A writer whose answer was lost finds its request here when
+     * another apply has already replaced its head.
+     */
+    std::vector<AppliedRequest> recent;
+
+    bool operator==(const ConfigHead &) const = default;
+};
+
+/** Number of earlier requests that a head keeps; at 780 changes a day these span half an hour. */
+constexpr std::size_t recentRequestCount = 16;
+
+Result<ConfigHead> parseConfigHead(std::string_view text);
+std::string toText(const ConfigHead &head);
+
+/** The revision that a request created, as far as the head knows; 0 if it does not. */
+std::uint64_t revisionOfRequest(const ConfigHead &head, std::string_view requestId);
+
+/**
+ * The first 128 bits of SHA-256 as 32 hexadecimal digits. Parts are named for their content and
+ * never compared byte by byte, so the hash must withstand deliberate collisions, which XXH3 does
+ * not; 128 bits halve the head compared with the full digest.
+ */
+std::string contentHash(std::string_view content);
+
+/** Content of parts by name or by hash; shared between snapshots. */
+using ConfigContents = std::map<std::string, std::shared_ptr<const std::string>>;
+
+/** "workspaces-00" to "workspaces-63". */
+std::string workspacePartName(const WorkspaceId &workspace);
+
+/** Part name to content. Equal states give equal contents. */
+ConfigContents splitDesiredState(const DesiredState &state);
+
+/** One complete revision: its head, the content of its parts and the state they describe. */
+struct ConfigSnapshot
+{
+    ConfigHead head;
+
+    /** The head as received, so that peers pass on the same bytes. */
+    std::string headText;
+
+    /** By part name. */
+    ConfigContents parts;
+
+    std::shared_ptr<const DesiredState> state;
+};
+
+/** Parts that are needed to complete a revision: name to content hash. */
+using MissingParts = std::map<std::string, std::string>;
+
+/**
+ * Names the parts of @p head that are neither in @p byHash nor, with the same hash, in
+ * @p previous.
+ */
+MissingParts missingParts(const ConfigHead &head, const ConfigContents &byHash,
+                          const ConfigSnapshot *previous);
+
+/**
+ * Assembles a revision. Parses only parts that differ from @p previous. Ignores unknown keys,
+ * because a router of a newer release may have written the parts.
+ *
+ * @param byHash contents by content hash; with @p previous they must cover all parts
+ * @returns ConfigInvalid when a part does not parse
+ */
+Result<std::shared_ptr<const ConfigSnapshot>> assembleSnapshot(std::string_view headText,
+                                                               const ConfigContents &byHash,
+                                                               const ConfigSnapshot *previous);
+
+} // namespace jy
--- a/modules/jy_core/config/DesiredStateWriter.cpp
+++ b/modules/jy_core/config/DesiredStateWriter.cpp
@@ -1,9 +1,9 @@
 #include "jy_core/config/DesiredStateWriter.h"
 
+#include "jy_core/config/JsonText.h"
 #include "jy_core/config/WallTimeText.h"
 
 #include <boost/json/array.hpp>
-#include <boost/json/serialize.hpp>
 
 namespace jy {
 
@@ -37,7 +37,7 @@
     const char *separator = "\n";
     for (const auto &[key, value] : entries) {
         text += separator;
-        text += "    " + json::serialize(json::value(key)) + ": " + json::serialize(value);
+        text += "    " + jsonText(json::value(key)) + ": " + jsonText(value);
         separator = ",\n";
     }
     text += entries.empty() ? "}" : "\n  }";
--- a/modules/jy_core/config/JsonFields.cpp
+++ b/modules/jy_core/config/JsonFields.cpp
@@ -1,9 +1,8 @@
 #include "jy_core/config/JsonFields.h"
 
+#include "jy_core/config/JsonText.h"
 #include "jy_core/config/WallTimeText.h"
 
-#include <boost/json/serialize.hpp>
-
 #include <algorithm>
 #include <cctype>
 #include <cmath>
@@ -20,7 +19,7 @@
 
 std::string shown(const boost::json::value &value)
 {
-    auto text = boost::json::serialize(value);
+    auto text = jsonText(value);
     if (text.size() > longestShownValue)
         text = text.substr(0, longestShownValue) + "...";
     return text;
