--- /dev/null
+++ b/modules/jy_core/membership/MemberTable.cpp
@@ -0,0 +1,134 @@
+#include "jy_core/membership/MemberTable.h"
+
+#include "jy_base/hashing/StableHash.h"
+
+#include <algorithm>
+
+namespace jy {
+
+namespace {
+
+int rank(MemberState state)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return 0;
+    case MemberState::Suspect:
+        return 1;
+    case MemberState::Leaving:
+        return 2;
+    case MemberState::Dead:
+        return 3;
+    case MemberState::Left:
+        return 4;
+    }
+    return 4;
+}
+
+/** Suspect counts as alive, because suspicions come and go before a synchronisation ends. */
+std::uint64_t recordDigest(const MemberInfo &member)
+{
+    if (!isReachable(member.state))
+        return 0;
+    const auto leaving = static_cast<std::uint64_t>(member.state == MemberState::Leaving);
+    return stableHash(member.id.value(), member.incarnation * 2 + leaving);
+}
+
+} // namespace
+
+bool isReachable(MemberState state)
+{
+    return state == MemberState::Alive || state == MemberState::Suspect
+        || state == MemberState::Leaving;
+}
+
+bool isShort(const MemberInfo &update)
+{
+    return update.gossip.address.empty();
+}
+
+MemberInfo shortForm(const MemberInfo &member)
+{
+    MemberInfo update;
+    update.id = member.id;
+    update.incarnation = member.incarnation;
+    update.state = member.state;
+    update.appliedRevision = member.appliedRevision;
+    return update;
+}
+
+bool MemberTable::Record::isLive() const
+{
+    return !listedLeaving
+        && (info.state == MemberState::Alive || info.state == MemberState::Suspect);
+}
+
+MemberTable::Merge MemberTable::merge(const MemberInfo &update, TimePoint now)
+{
+    const auto found = records_.find(update.id);
+    if (found == records_.end()) {
+        if (isShort(update) || !isReachable(update.state))
+            return Merge::Ignored;
+        put(update, now);
+        return Merge::Added;
+    }
+    const auto &known = found->second.info;
+    if (update.incarnation < known.incarnation
+        || (isShort(update) && update.incarnation > known.incarnation)) {
+        return Merge::Ignored;
+    }
+    if (update.incarnation > known.incarnation) {
+        put(update, now);
+        return Merge::Changed;
+    }
+    auto merged = known;
+    merged.appliedRevision = std::max(known.appliedRevision, update.appliedRevision);
+    if (rank(update.state) > rank(known.state)) {
+        merged.state = update.state;
+        put(merged, now);
+        return Merge::Changed;
+    }
+    if (merged.appliedRevision == known.appliedRevision)
+        return Merge::Ignored;
+    found->second.info.appliedRevision = merged.appliedRevision;
+    return Merge::Revision;
+}
+
+void MemberTable::put(const MemberInfo &member, TimePoint now)
+{
+    auto &record = records_[member.id];
+    if (!record.info.id.empty())
+        digest_ ^= recordDigest(record.info);
+    digest_ ^= recordDigest(member);
+    record.info = member;
+    record.since = now;
+}
+
+const MemberTable::Record *MemberTable::find(const InstanceId &id) const
+{
+    const auto found = records_.find(id);
+    return found == records_.end() ? nullptr : &found->second;
+}
+
+bool MemberTable::setListedLeaving(const InstanceId &id, bool leaving)
+{
+    const auto found = records_.find(id);
+    if (found == records_.end() || found->second.listedLeaving == leaving)
+        return false;
+    found->second.listedLeaving = leaving;
+    return true;
+}
+
+void MemberTable::forget(TimePoint now, Duration deadRetention, Duration leftRetention)
+{
+    std::erase_if(records_, [&](const auto &item) {
+        const auto &record = item.second;
+        if (isReachable(record.info.state))
+            return false;
+        const auto retention =
+            record.info.state == MemberState::Dead ? deadRetention : leftRetention;
+        return now - record.since > retention;
+    });
+}
+
+} // namespace jy
