--- a/modules/jy_platform/engine/EngineTypes.h
+++ b/modules/jy_platform/engine/EngineTypes.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "jy_base/ids/Ids.h"
-#include "jy_base/time/TimeTypes.h"
 #include "jy_base/net/Endpoint.h"
+#include "jy_base/time/TimeTypes.h"
+#include "jy_core/limits/RequestQueue.h"
 
 #include <chrono>
 #include <cstdint>
@@ -12,13 +13,7 @@
 
 namespace jy {
 
-/** Order in which an engine and the queues in front of it serve requests. */
-enum class Priority {
-    Low,
-    Normal,
-    High,
-};
-
+/** @returns the value of the X-Priority header. */
 std::string_view toString(Priority priority);
 
 /** A chat completions request on its way to an engine. */
