Rename the engine adapter's settings to EngineClientSettings

jy_runtime and jy_platform both defined jy::EngineSettings, which broke the first program that included both.

--- a/modules/jy_platform/engine/ChatStream.cpp
+++ b/modules/jy_platform/engine/ChatStream.cpp
@@ -69,8 +69,8 @@
     });
 }
 
-ChatStream::ChatStream(std::shared_ptr<HttpClient> client, EngineSettings settings, Endpoint engine,
-                       ChatCall call, std::shared_ptr<Cancellation> cancellation,
+ChatStream::ChatStream(std::shared_ptr<HttpClient> client, EngineClientSettings settings,
+                       Endpoint engine, ChatCall call, std::shared_ptr<Cancellation> cancellation,
                        std::unique_ptr<HttpStream> response)
     : client_(std::move(client))
     , settings_(settings)
--- a/modules/jy_platform/engine/ChatStream.h
+++ b/modules/jy_platform/engine/ChatStream.h
@@ -10,7 +10,7 @@
 
 namespace jy {
 
-struct EngineSettings
+struct EngineClientSettings
 {
     /** Time for a control call. */
     std::chrono::milliseconds controlTimeout{2000};
@@ -39,7 +39,7 @@
 {
 public:
     /** Used by EngineClient. @param call must have been sent, its response is @p response */
-    ChatStream(std::shared_ptr<HttpClient> client, EngineSettings settings, Endpoint engine,
+    ChatStream(std::shared_ptr<HttpClient> client, EngineClientSettings settings, Endpoint engine,
                ChatCall call, std::shared_ptr<Cancellation> cancellation,
                std::unique_ptr<HttpStream> response);
     ChatStream(const ChatStream &) = delete;
@@ -80,7 +80,7 @@
     Result<std::optional<ServerSentEvent>> accept(ServerSentEvent event);
 
     std::shared_ptr<HttpClient> client_;
-    EngineSettings settings_;
+    EngineClientSettings settings_;
     Endpoint engine_;
     ChatCall call_;
     std::shared_ptr<Cancellation> cancellation_;
--- a/modules/jy_platform/engine/EngineClient.cpp
+++ b/modules/jy_platform/engine/EngineClient.cpp
@@ -101,13 +101,13 @@
 
 } // namespace
 
-EngineClient::EngineClient(std::shared_ptr<HttpClient> client, EngineSettings settings)
+EngineClient::EngineClient(std::shared_ptr<HttpClient> client, EngineClientSettings settings)
     : client_(std::move(client))
     , settings_(settings)
 { }
 
 std::unique_ptr<EngineClient> EngineClient::create(std::shared_ptr<HttpClient> client,
-                                                   EngineSettings settings)
+                                                   EngineClientSettings settings)
 {
     return std::unique_ptr<EngineClient>(new EngineClient(std::move(client), settings));
 }
--- a/modules/jy_platform/engine/EngineClient.h
+++ b/modules/jy_platform/engine/EngineClient.h
@@ -48,7 +48,7 @@
 {
 public:
     static std::unique_ptr<EngineClient> create(std::shared_ptr<HttpClient> client,
-                                                EngineSettings settings);
+                                                EngineClientSettings settings);
 
     /**
      * Performs a request without streaming. A 4xx response, other than 429, is returned as it is.
@@ -74,12 +74,12 @@
     Result<CacheEvents> cacheEvents(const Endpoint &engine, std::uint64_t since);
 
 private:
-    EngineClient(std::shared_ptr<HttpClient> client, EngineSettings settings);
+    EngineClient(std::shared_ptr<HttpClient> client, EngineClientSettings settings);
 
     Result<HttpResponse> control(const Endpoint &engine, const HttpRequest &request);
 
     std::shared_ptr<HttpClient> client_;
-    EngineSettings settings_;
+    EngineClientSettings settings_;
 };
 
 } // namespace jy
--- a/tests/jy_router/EngineClientTest.cpp
+++ b/tests/jy_router/EngineClientTest.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-const jy::EngineSettings fastSettings{.resumeDelay = 1ms};
+const jy::EngineClientSettings fastSettings{.resumeDelay = 1ms};
 
 struct Received
 {
@@ -32,7 +32,7 @@
 }
 
 Received receive(jy::EventLoop &loop, const ScriptedEngine &engine, const jy::ChatCall &call,
-                 const jy::EngineSettings &settings = fastSettings)
+                 const jy::EngineClientSettings &settings = fastSettings)
 {
     auto client = jy::EngineClient::create(httpClient(loop), settings);
     Received out;
