Treat a pool as saturated only when its totals are known

The servers that one owner has say nothing about room elsewhere: an owner with one busy server queued requests that another server would have taken at once. Without totals the owner now refuses, the router tries the next server, and queues at the home server as a last resort.

--- a/modules/jy_core/ledger/OwnerLedger.cpp
+++ b/modules/jy_core/ledger/OwnerLedger.cpp
@@ -213,7 +213,9 @@
     const auto &spec = ledger.spec();
     PoolLoad load = ownLoad(spec.pool, now);
     const auto pool = pools_.find(spec.pool);
-    if (pool != pools_.end() && pool->second.totals) {
+    // The own servers alone say nothing about room elsewhere in the pool.
+    const bool known = pool != pools_.end() && pool->second.totals;
+    if (known) {
         const auto &totals = *pool->second.totals;
         const int others = std::max(0, totals.inFlight - pool->second.reportedInFlight);
         load.inFlight += others;
@@ -223,7 +225,7 @@
     const double mean = static_cast<double>(load.inFlight + 1) / std::max(1, load.servers);
     const int bound = static_cast<int>(std::ceil(spec.loadMultiple * mean));
     return {.bound = std::max(spec.loadFloor, bound),
-            .saturated = load.inFlight >= saturatedShare * load.limit,
+            .saturated = known && load.inFlight >= saturatedShare * load.limit,
             .restricted = minority_};
 }
 
--- a/modules/jy_core/placement/OwnershipMap.h
+++ b/modules/jy_core/placement/OwnershipMap.h
@@ -20,6 +20,9 @@
     /** The router is shutting down: it owns nothing and is in no lookup response. */
     bool leaving = false;
 
+    /** Changes when the router restarts, and when it refutes a suspicion. */
+    std::uint64_t incarnation = 0;
+
     bool operator==(const LiveRouter &) const = default;
 };
 
