Make the cost of a ledger decision independent of the owned servers

Each decision summed the pool over all owned servers and looked through all reservations for expired ones. Keep the pool's sum incrementally and expire only in tick().

--- a/modules/jy_core/ledger/OwnerLedger.cpp
+++ b/modules/jy_core/ledger/OwnerLedger.cpp
@@ -27,12 +27,14 @@
     noticePause(now);
     if (auto *ledger = ledgerOf(spec.id)) {
         ledger->setSpec(spec);
+        pools_.try_emplace(spec.pool);
         return;
     }
     LastKnown last;
     if (const auto known = lastKnown_.find(spec.id); known != lastKnown_.end())
         last = known->second;
     servers_.try_emplace(spec.id, spec, settings_, last, previousOwnerLive, now);
+    refreshPools(now);
 }
 
 void OwnerLedger::acceptHandOff(const OwnedServerSpec &spec, const HandOffState &state,
@@ -42,7 +44,8 @@
     acquire(spec, false, now);
     auto &ledger = servers_.at(spec.id);
     ledger.acceptHandOff(state, now);
-    advance(ledger, now);
+    refreshPools(now);
+    change(ledger, now, [] {});
 }
 
 std::optional<HandOffState> OwnerLedger::handOff(const ServerId &server, TimePoint now)
@@ -55,6 +58,7 @@
     auto state = ledger->handOff(now);
     lastKnown_[server] = ledger->lastKnown();
     servers_.erase(server);
+    refreshPools(now);
     return state;
 }
 
@@ -71,8 +75,9 @@
     auto *ledger = ledgerOf(input.server);
     if (ledger == nullptr)
         return Refused{notOwner(input.server)};
-    auto result = ledger->reserve(input, nextSequence_++, boundFor(*ledger, now), now);
-    advance(*ledger, now);
+    ReserveResult result;
+    change(*ledger, now,
+           [&] { result = ledger->reserve(input, nextSequence_++, boundFor(*ledger), now); });
     return result;
 }
 
@@ -82,8 +87,7 @@
     auto *ledger = ledgerOf(input.server);
     if (ledger == nullptr)
         return failure(ErrorKind::NotOwner, notOwner(input.server).message);
-    ledger->release(input, now);
-    advance(*ledger, now);
+    change(*ledger, now, [&] { ledger->release(input, now); });
     return success();
 }
 
@@ -95,8 +99,9 @@
     for (const auto &reservation : held)
         byServer[reservation.server].push_back(reservation);
     for (auto &[id, ledger] : servers_) {
-        ledger.report(holder, byServer[id], now, actions_);
-        advance(ledger, now);
+        change(ledger, now, [&, &ledger = ledger, &held = byServer[id]] {
+            ledger.report(holder, held, now, actions_);
+        });
     }
     std::vector<ServerId> unknown;
     for (const auto &[id, reservations] : byServer) {
@@ -164,13 +169,13 @@
     }
 }
 
-PoolLoad OwnerLedger::ownLoad(const std::string &pool, TimePoint now) const
+void OwnerLedger::refreshPools(TimePoint now)
 {
-    PoolLoad load;
+    for (auto &[name, pool] : pools_)
+        pool.own = {};
     const PoolBound unbounded{.restricted = minority_};
     for (const auto &[id, ledger] : servers_) {
-        if (ledger.spec().pool != pool)
-            continue;
+        auto &load = pools_[ledger.spec().pool].own;
         load.inFlight += ledger.inFlight();
         load.queued += ledger.queued();
         if (ledger.closed())
@@ -178,20 +183,18 @@
         load.servers += 1;
         load.limit += ledger.effectiveLimit(unbounded, now);
     }
-    return load;
 }
 
 std::map<std::string, PoolLoad> OwnerLedger::poolReports(TimePoint now)
 {
     noticePause(now);
+    refreshPools(now);
     std::map<std::string, PoolLoad> reports;
     for (const auto &[id, ledger] : servers_) {
-        const auto &name = ledger.spec().pool;
-        if (!reports.contains(name))
-            reports[name] = ownLoad(name, now);
+        auto &pool = pools_[ledger.spec().pool];
+        pool.lastReport = pool.own.inFlight;
+        reports[ledger.spec().pool] = pool.own;
     }
-    for (const auto &[name, load] : reports)
-        pools_[name].own = load;
     std::erase_if(pools_, [&](const auto &item) { return !reports.contains(item.first); });
     return reports;
 }
@@ -201,26 +204,24 @@
     noticePause(now);
     auto &pool = pools_[name];
     pool.totals = totals;
-    pool.reportedInFlight = pool.own.inFlight;
+    pool.reportedInFlight = pool.lastReport;
     for (auto &[id, ledger] : servers_) {
         if (ledger.spec().pool == name)
-            advance(ledger, now);
+            change(ledger, now, [] {});
     }
 }
 
-PoolBound OwnerLedger::boundFor(const ServerLedger &ledger, TimePoint now) const
+PoolBound OwnerLedger::boundFor(const ServerLedger &ledger) const
 {
     const auto &spec = ledger.spec();
-    PoolLoad load = ownLoad(spec.pool, now);
-    const auto pool = pools_.find(spec.pool);
+    const auto &pool = pools_.at(spec.pool);
+    PoolLoad load = pool.own;
     // The own servers alone say nothing about room elsewhere in the pool.
-    const bool known = pool != pools_.end() && pool->second.totals;
+    const bool known = pool.totals.has_value();
     if (known) {
-        const auto &totals = *pool->second.totals;
-        const int others = std::max(0, totals.inFlight - pool->second.reportedInFlight);
-        load.inFlight += others;
-        load.servers = std::max(load.servers, totals.servers);
-        load.limit = std::max(load.limit, totals.limit);
+        load.inFlight += std::max(0, pool.totals->inFlight - pool.reportedInFlight);
+        load.servers = std::max(load.servers, pool.totals->servers);
+        load.limit = std::max(load.limit, pool.totals->limit);
     }
     const double mean = static_cast<double>(load.inFlight + 1) / std::max(1, load.servers);
     const int bound = static_cast<int>(std::ceil(spec.loadMultiple * mean));
@@ -229,16 +230,25 @@
             .restricted = minority_};
 }
 
-void OwnerLedger::advance(ServerLedger &ledger, TimePoint now)
+void OwnerLedger::change(ServerLedger &ledger, TimePoint now, const std::function<void()> &body)
 {
-    ledger.advance(boundFor(ledger, now), nextSequence_, now, actions_);
+    const int before = ledger.inFlight();
+    body();
+    auto &pool = pools_.at(ledger.spec().pool);
+    const int changed = ledger.inFlight();
+    pool.own.inFlight += changed - before;
+    ledger.grantQueued(boundFor(ledger), nextSequence_, now, actions_);
+    pool.own.inFlight += ledger.inFlight() - changed;
 }
 
 void OwnerLedger::tick(TimePoint now)
 {
     noticePause(now);
     for (auto &[id, ledger] : servers_)
-        advance(ledger, now);
+        ledger.expire(now, actions_);
+    refreshPools(now);
+    for (auto &[id, ledger] : servers_)
+        change(ledger, now, [] {});
 }
 
 void OwnerLedger::noticePause(TimePoint now)
@@ -270,7 +280,7 @@
     std::vector<OwnedServerView> result;
     result.reserve(servers_.size());
     for (const auto &[id, ledger] : servers_) {
-        const auto bound = boundFor(ledger, now);
+        const auto bound = boundFor(ledger);
         result.push_back({.server = id,
                           .inFlight = ledger.inFlight(),
                           .queued = ledger.queued(),
--- a/modules/jy_core/ledger/OwnerLedger.h
+++ b/modules/jy_core/ledger/OwnerLedger.h
@@ -3,6 +3,7 @@
 #include "jy_core/ledger/LedgerTypes.h"
 #include "jy_core/ledger/ServerLedger.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -109,17 +110,24 @@
 private:
     struct Pool
     {
+        /** Sums over the owned servers. In-flight counts are exact, the rest is as of the last
+         *  tick, so that a decision does not visit every owned server. */
         PoolLoad own;
+
         std::optional<PoolLoad> totals;
 
-        /** The own part contained in the totals. */
+        /** The own part of the last report, and of the report that the totals contain. */
+        int lastReport = 0;
         int reportedInFlight = 0;
     };
 
     void noticePause(TimePoint now);
-    PoolLoad ownLoad(const std::string &pool, TimePoint now) const;
-    PoolBound boundFor(const ServerLedger &ledger, TimePoint now) const;
-    void advance(ServerLedger &ledger, TimePoint now);
+    void refreshPools(TimePoint now);
+    PoolBound boundFor(const ServerLedger &ledger) const;
+
+    /** Runs a change of one ledger, grants what is queued, and keeps the pool's sum. */
+    void change(ServerLedger &ledger, TimePoint now, const std::function<void()> &body);
+
     ServerLedger *ledgerOf(const ServerId &server);
 
     LedgerSettings settings_;
--- a/modules/jy_core/ledger/ServerLedger.cpp
+++ b/modules/jy_core/ledger/ServerLedger.cpp
@@ -225,8 +225,18 @@
     }
 }
 
-void ServerLedger::advance(const PoolBound &pool, std::uint64_t &nextSequence, TimePoint now,
-                           LedgerActions &actions)
+void ServerLedger::expire(TimePoint now, LedgerActions &actions)
+{
+    expireReservations(now, actions);
+    for (const auto &entry : queue_.expire(now)) {
+        waiting_.erase(entry.ticket);
+        actions.emplace_back(RefuseQueued{
+            entry.ticket, {ErrorKind::Overloaded, "no place became free in time", retryAfter()}});
+    }
+}
+
+void ServerLedger::grantQueued(const PoolBound &pool, std::uint64_t &nextSequence, TimePoint now,
+                               LedgerActions &actions)
 {
     for (const auto ticket : std::exchange(evicted_, {})) {
         waiting_.erase(ticket);
@@ -235,13 +245,7 @@
             {ErrorKind::WorkspaceLimited,
              "the queue is full and the workspace is above its fair share", retryAfter()}});
     }
-    expireReservations(now, actions);
-    for (const auto &entry : queue_.expire(now)) {
-        waiting_.erase(entry.ticket);
-        actions.emplace_back(RefuseQueued{
-            entry.ticket, {ErrorKind::Overloaded, "no place became free in time", retryAfter()}});
-    }
-    while (inFlight() < effectiveLimit(pool, now) && inFlight() < pool.bound) {
+    while (!queue_.empty() && inFlight() < effectiveLimit(pool, now) && inFlight() < pool.bound) {
         const auto entry = queue_.pop(workspaces_);
         if (!entry)
             break;
--- a/modules/jy_core/ledger/ServerLedger.h
+++ b/modules/jy_core/ledger/ServerLedger.h
@@ -62,9 +62,12 @@
     LastKnown lastKnown() const;
     void acceptHandOff(const HandOffState &state, TimePoint now);
 
-    /** Expires reservations and queue entries, then grants queued requests that fit. */
-    void advance(const PoolBound &pool, std::uint64_t &nextSequence, TimePoint now,
-                 LedgerActions &actions);
+    /** Grants queued requests that fit and refuses those that made room in a full queue. */
+    void grantQueued(const PoolBound &pool, std::uint64_t &nextSequence, TimePoint now,
+                     LedgerActions &actions);
+
+    /** Expires reservations, queue entries and release records. */
+    void expire(TimePoint now, LedgerActions &actions);
 
     /** Refuses everything that is queued. */
     void drainQueue(const Error &reason, LedgerActions &actions);
@@ -124,7 +127,7 @@
     /** Holder of each queued ticket. */
     std::map<std::uint64_t, InstanceId> waiting_;
 
-    /** Tickets that made room in a full queue; advance() refuses them. */
+    /** Tickets that made room in a full queue; grantQueued() refuses them. */
     std::vector<std::uint64_t> evicted_;
 
     double recoveryBase_;
--- a/modules/jy_core/placement/ExceptionTable.h
+++ b/modules/jy_core/placement/ExceptionTable.h
@@ -14,7 +14,7 @@
 /**
  * Chats of one home server that are served elsewhere: chat hash to server.
  *
- * A set-associative table of 8 entries per set. An entry takes 12 bytes: the 64-bit chat hash, a
+ * A set-associative table of 16 entries per set. An entry takes 12 bytes: the 64-bit chat hash, a
  * 16-bit server index and a 16-bit generation. The generation is the minute of the last use; a
  * full set replaces its oldest entry. The table grows by doubling up to its capacity, and forgets
  * entries that were not used for a day.
@@ -22,7 +22,7 @@
 class ExceptionTable
 {
 public:
-    /** @param capacity the largest number of entries, rounded up to 8 times a power of two. */
+    /** @param capacity the largest number of entries, rounded up to 16 times a power of two. */
     explicit ExceptionTable(std::size_t capacity = defaultCapacity);
 
     /** 6.7 million chats over 600 home servers are 11,200 each; the table holds them all. */
@@ -57,7 +57,7 @@
     std::vector<Item> items() const;
 
 private:
-    static constexpr std::size_t ways = 8;
+    static constexpr std::size_t ways = 16;
     static constexpr std::uint16_t noServer = 0xffff;
 
     std::uint16_t internServer(const ServerId &server);
