--- a/modules/jy_core/config/ConfigReplica.cpp
+++ b/modules/jy_core/config/ConfigReplica.cpp
@@ -1,7 +1,5 @@
 #include "jy_core/config/ConfigReplica.h"
 
-#include <algorithm>
-
 namespace jy {
 
 ConfigOfferResult ConfigReplica::offer(std::string_view headText, std::vector<std::string> contents)
@@ -22,16 +20,22 @@
                                    std::make_shared<const std::string>(std::move(content)));
     }
     // Only parts that this head names are kept, which bounds the memory of incomplete offers.
-    std::erase_if(received_, [&](const auto &entry) {
-        const auto &parts = head.value().parts;
-        return std::none_of(parts.begin(), parts.end(),
-                            [&](const auto &part) { return part.second == entry.first; });
-    });
+    ConfigContents named;
+    receivedNames_.clear();
+    for (const auto &[name, hash] : head.value().parts) {
+        const auto found = received_.find(hash);
+        if (found == received_.end())
+            continue;
+        named.insert(*found);
+        receivedNames_.emplace(name, hash);
+    }
+    received_ = std::move(named);
     auto missing = missingParts(head.value(), received_, snapshot_.get());
     if (!missing.empty())
         return ConfigNeedParts{offered, std::move(missing)};
     auto assembled = assembleSnapshot(headText, received_, snapshot_.get());
     received_.clear();
+    receivedNames_.clear();
     if (!assembled)
         return ConfigRejected{assembled.error()};
     const ConfigAdopted result{.previousRevision = revision(), .revision = offered};
@@ -39,4 +43,12 @@
     return result;
 }
 
+MissingParts ConfigReplica::held() const
+{
+    auto held = snapshot_ ? snapshot_->head.parts : MissingParts{};
+    for (const auto &[name, hash] : receivedNames_)
+        held.insert_or_assign(name, hash);
+    return held;
+}
+
 } // namespace jy
--- a/modules/jy_core/config/ConfigReplica.h
+++ b/modules/jy_core/config/ConfigReplica.h
@@ -74,11 +74,20 @@
 
     std::shared_ptr<const ConfigSnapshot> snapshot() const { return snapshot_; }
 
+    /**
+     * Part name to hash of what need not be transferred again, including the parts received for
+     * a revision that is not complete yet.
+     */
+    MissingParts held() const;
+
 private:
     std::shared_ptr<const ConfigSnapshot> snapshot_;
 
     // Parts received for a revision that is not complete yet, by hash.
     ConfigContents received_;
+
+    // Names and hashes of the parts in received_.
+    MissingParts receivedNames_;
 };
 
 } // namespace jy
