--- a/modules/jy_runtime/jy_runtime.h
+++ b/modules/jy_runtime/jy_runtime.h
@@ -7,6 +7,7 @@
 
 #include "jy_runtime/events/Event.h"
 #include "jy_runtime/events/EventBuffer.h"
+#include "jy_runtime/events/EventJson.h"
 #include "jy_runtime/fibers/EventLoop.h"
 #include "jy_runtime/fibers/FiberToken.h"
 #include "jy_runtime/logging/Log.h"
