--- a/modules/jy_core/membership/MemberTable.cpp
+++ b/modules/jy_core/membership/MemberTable.cpp
@@ -25,13 +25,19 @@
     return 4;
 }
 
+std::uint64_t revisionHash(const MemberInfo &member)
+{
+    constexpr std::uint64_t oddMultiplier = 0x9E3779B97F4A7C15ULL;
+    return member.appliedRevision * oddMultiplier;
+}
+
 /** Suspect counts as alive, because suspicions come and go before a synchronisation ends. */
 std::uint64_t recordDigest(const MemberInfo &member)
 {
     if (!isReachable(member.state))
         return 0;
     const auto leaving = static_cast<std::uint64_t>(member.state == MemberState::Leaving);
-    return stableHash(member.id.value(), member.incarnation * 2 + leaving);
+    return stableHash(member.id.value(), (member.incarnation * 2 + leaving) ^ revisionHash(member));
 }
 
 } // namespace
@@ -90,6 +96,7 @@
     }
     if (merged.appliedRevision == known.appliedRevision)
         return Merge::Ignored;
+    digest_ ^= recordDigest(known) ^ recordDigest(merged);
     found->second.info.appliedRevision = merged.appliedRevision;
     return Merge::Revision;
 }
