Assemble the router process

ReservationClient offers placeAt() for one server, since the caller interface decides which server to try next.

--- a/modules/jy_core/membership/RouterChoice.h
+++ b/modules/jy_core/membership/RouterChoice.h
@@ -10,9 +10,6 @@
 /** Routers per region that watch the configuration head in the KV service. */
 constexpr std::size_t configWatchersPerRegion = 2;
 
-/** KV key whose rendezvous score chooses the configuration watchers. */
-constexpr std::string_view configHeadKey = "jy/config/head";
-
 /**
  * The routers with the highest rendezvous score for a key, best first.
  *
--- a/modules/jy_core/orders/OrderPlanner.cpp
+++ b/modules/jy_core/orders/OrderPlanner.cpp
@@ -16,10 +16,10 @@
 
 } // namespace
 
-std::vector<EngineOrder> planOrders(const DesiredState &state, const MoveBoard &board,
+std::vector<PlannedOrder> planOrders(const DesiredState &state, const MoveBoard &board,
                                     const std::vector<BackendServer> &servers)
 {
-    std::vector<EngineOrder> orders;
+    std::vector<PlannedOrder> orders;
     for (const auto &server : servers) {
         if (server.kind != ServerKind::Engine || server.leaving || !server.version.empty())
             continue;
--- a/modules/jy_core/orders/OrderPlanner.h
+++ b/modules/jy_core/orders/OrderPlanner.h
@@ -9,7 +9,7 @@
 namespace jy {
 
 /** The state that an engine should be brought to; sending it twice changes nothing. */
-struct EngineOrder
+struct PlannedOrder
 {
     ServerId server;
     ModelId model;
@@ -17,7 +17,7 @@
     std::uint64_t weightBytes = 0;
     bool checksFencing = true;
 
-    bool operator==(const EngineOrder &) const = default;
+    bool operator==(const PlannedOrder &) const = default;
 };
 
 /**
@@ -26,7 +26,7 @@
  * Only engines without a version are ordered to load: operators start engines for a new version
  * beside the old ones, and an engine that serves is never reloaded under its chats.
  */
-std::vector<EngineOrder> planOrders(const DesiredState &state, const MoveBoard &board,
+std::vector<PlannedOrder> planOrders(const DesiredState &state, const MoveBoard &board,
                                     const std::vector<BackendServer> &servers);
 
 } // namespace jy
--- a/modules/jy_core/versions/MoveRecord.cpp
+++ b/modules/jy_core/versions/MoveRecord.cpp
@@ -13,14 +13,6 @@
 constexpr std::array<std::string_view, 6> stateNames{"planned", "loading", "judging",
                                                      "moving",  "done",    "taken-back"};
 
-std::optional<MoveState> stateFromName(std::string_view name)
-{
-    const auto *found = std::find(stateNames.begin(), stateNames.end(), name);
-    if (found == stateNames.end())
-        return std::nullopt;
-    return static_cast<MoveState>(found - stateNames.begin());
-}
-
 } // namespace
 
 std::string_view toString(MoveState state)
@@ -28,6 +20,14 @@
     return stateNames[static_cast<std::size_t>(state)];
 }
 
+std::optional<MoveState> moveStateFromName(std::string_view name)
+{
+    const auto *found = std::find(stateNames.begin(), stateNames.end(), name);
+    if (found == stateNames.end())
+        return std::nullopt;
+    return static_cast<MoveState>(found - stateNames.begin());
+}
+
 std::string toJson(const MoveRecord &record)
 {
     using std::chrono::duration_cast;
@@ -61,7 +61,7 @@
         || reason == nullptr || !reason->is_string() || changedAt == nullptr
         || !changedAt->is_number())
         return failure(ErrorKind::BadRequest, "a move record lacks a field or has a wrong type");
-    const auto parsedState = stateFromName(state->get_string());
+    const auto parsedState = moveStateFromName(state->get_string());
     if (!parsedState)
         return failure(ErrorKind::BadRequest, "a move record names an unknown state");
     boost::system::error_code sequenceError;
--- a/modules/jy_core/versions/MoveRecord.h
+++ b/modules/jy_core/versions/MoveRecord.h
@@ -5,6 +5,7 @@
 #include "jy_base/time/TimeTypes.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,9 @@
 
 std::string_view toString(MoveState state);
 
+/** Reads the text of toString(). @returns nothing for another text. */
+std::optional<MoveState> moveStateFromName(std::string_view name);
+
 /** The recorded progress of one move; written to the KV service by compare-and-swap. */
 struct MoveRecord
 {
--- /dev/null
+++ b/modules/jy_router/assembly/Router.cpp
@@ -0,0 +1,175 @@
+#include "jy_router/assembly/Router.h"
+
+#include "jy_router/assembly/CallerWiring.h"
+#include "jy_router/assembly/OperatorWiring.h"
+#include "jy_router/assembly/PeerWiring.h"
+#include "jy_runtime/fibers/FiberToken.h"
+#include "jy_runtime/logging/Log.h"
+
+#include <csignal>
+
+namespace jy {
+
+namespace {
+
+// Time in which a caller that used its lookup at the last moment still connects.
+constexpr std::chrono::milliseconds lookupGrace{500};
+
+constexpr std::chrono::milliseconds handOffGrace{1000};
+constexpr std::chrono::milliseconds recordPoll{50};
+
+} // namespace
+
+Router::Router(EventLoop &loop, const RouterSettings &settings, std::string settingsFile)
+    : context_(loop, settings)
+    , settingsFile_(std::move(settingsFile))
+    , operatorKeys_(settings.operatorKeys)
+    , signals_(loop.io(), SIGTERM, SIGINT)
+{ }
+
+Result<std::unique_ptr<Router>> Router::create(EventLoop &loop, const RouterSettings &settings,
+                                               std::string settingsFile)
+{
+    std::unique_ptr<Router> router(new Router(loop, settings, std::move(settingsFile)));
+    BOOST_OUTCOME_TRY(router->buildClients());
+    BOOST_OUTCOME_TRY(router->buildMembership());
+    router->buildConfig();
+    router->buildOwnership();
+    router->buildProtectedCalls();
+    BOOST_OUTCOME_TRY(router->buildServers());
+    BOOST_OUTCOME_TRY(router->buildSupervisor());
+    return router;
+}
+
+Result<void> Router::buildServers()
+{
+    const auto &settings = context_.settings;
+    auto peers = PeerServer::create(context_.loop, settings.listen.rpc, context_.keys,
+                                    peerHandlers(context_));
+    if (!peers)
+        return failure(peers.error().kind, peers.error().message);
+    peerServer_ = std::move(peers.value());
+
+    callerApi_ = std::make_unique<CallerApi>(
+        callerDependencies(context_),
+        CallerSettings{.defaultDeadline = settings.timings.requestTimeout});
+    HttpServerSettings caller;
+    caller.listen = settings.listen.caller;
+    caller.maxHeadBytes = static_cast<std::size_t>(settings.limits.maxHeaderBytes);
+    caller.maxBodyBytes = static_cast<std::size_t>(settings.limits.maxBodyBytes);
+    caller.maxConnections = static_cast<std::size_t>(settings.limits.maxConnections);
+    caller.maxConnectionsPerSource = caller.maxConnections;
+    BOOST_OUTCOME_TRY(callerServer_, HttpServer::create(context_.loop, caller,
+                                                   [this](const auto &request, auto &responder) {
+                                                       callerApi_->handle(request, responder);
+                                                   }));
+
+    HttpServerSettings operations;
+    operations.listen = settings.listen.operations;
+    BOOST_OUTCOME_TRY(operatorApi_,
+                 OperatorApi::create(context_.loop, operations,
+                                     operatorDependencies(context_, operatorKeys_)));
+    return success();
+}
+
+Result<void> Router::buildSupervisor()
+{
+    BOOST_OUTCOME_TRY(supervisor_, Supervisor::create("router", {}, context_.events.sink()));
+    supervisor_->onFailure([this](const std::string &reason) {
+        failure_ = reason;
+        signals_.cancel();
+    });
+    keyReloader_ = std::make_unique<KeyReloader>(settingsFile_, context_.settings,
+                                                 context_.events.sink());
+    keyReloader_->addHook([this](const RouterSettings &settings) -> Result<void> {
+        operatorKeys_.replace(settings.operatorKeys);
+        return context_.keys->reload(peerKeys(settings), settings.peerKeys.sealWith);
+    });
+    supervisor_->addChild("key-reload",
+                          [this](StopToken &stop) { keyReloader_->run(context_.loop.io(), stop); });
+    supervisor_->addChild("probes",
+                          [this](StopToken &stop) { context_.membership->runProbes(stop); });
+    supervisor_->addChild("instance-list",
+                          [this](StopToken &stop) { context_.membership->runInstanceList(stop); });
+    supervisor_->addChild("config-watch", [this](StopToken &stop) { context_.config->watch(stop); });
+    supervisor_->addChild("config-follow",
+                          [this](StopToken &stop) { context_.config->follow(stop); });
+    supervisor_->addChild("attempts",
+                          [this](StopToken &stop) { context_.protectedCalls->run(stop); });
+    supervisor_->addChild("attempt-cleanup",
+                          [this](StopToken &stop) { context_.protectedCalls->cleanUp(stop); });
+    addPeriodicTask({"moves", MoveDriver::period, [this] { context_.moves->tick(); }});
+    addPeriodicTask({"orders", OrderDriver::period, [this] { context_.orders->tick(); }});
+    for (const auto &task : context_.owner->tasks())
+        addPeriodicTask(task);
+    for (const auto &task : context_.reservations->tasks())
+        addPeriodicTask(task);
+    return success();
+}
+
+void Router::addPeriodicTask(const PeriodicTask &task)
+{
+    supervisor_->addChild(task.name, [task](StopToken &stop) {
+        while (stop.sleepFor(task.interval))
+            task.run();
+    });
+}
+
+Result<void> Router::run()
+{
+    const auto &settings = context_.settings;
+    logEvent(LogLevel::Info, "router-started",
+             {{"caller", toString(callerServer_->localEndpoint())},
+              {"rpc", toString(peerServer_->localEndpoint())},
+              {"operations", toString(operatorApi_->localEndpoint())},
+              {"domain", settings.instance.domain},
+              {"region", settings.instance.region}});
+    const auto signal = waitForSignal();
+    if (!failure_.empty()) {
+        supervisor_->stop();
+        return failure(ErrorKind::Internal, "supervisor failed: " + failure_);
+    }
+    context_.record("shutdown-started", {{"signal", signal}});
+    const auto interrupted = shutDown();
+    logEvent(LogLevel::Info, "router-stopped", {{"interrupted", interrupted}});
+    if (interrupted == 0)
+        return success();
+    return failure(ErrorKind::ShuttingDown,
+                   std::to_string(interrupted) + " requests were still running at the deadline");
+}
+
+std::string Router::waitForSignal()
+{
+    boost::system::error_code error;
+    const int signal = signals_.async_wait(FiberToken{error});
+    if (error)
+        return "none";
+    return signal == SIGTERM ? "SIGTERM" : "SIGINT";
+}
+
+std::size_t Router::shutDown()
+{
+    const auto state = context_.desiredState();
+    const auto lifetime = state ? state->global.lookupLifetime : GlobalSpec{}.lookupLifetime;
+    context_.leaving = true;
+    context_.orders->stop();
+    context_.membership->leave();
+    updateOwnership();
+    // Callers that hold this address may use it until their lookup expires.
+    EventLoop::sleepFor(lifetime + lookupGrace);
+    callerServer_->announceClose();
+    EventLoop::sleepFor(handOffGrace);
+    const auto interrupted = callerServer_->drain(context_.settings.timings.shutdownDeadline);
+    if (interrupted > 0)
+        context_.record("requests-interrupted", {{"count", std::to_string(interrupted)}});
+    while (context_.protectedCalls->pendingRecords() > 0 && interrupted == 0)
+        EventLoop::sleepFor(recordPoll);
+    callerServer_->stop();
+    operatorApi_->stop();
+    supervisor_->stop();
+    context_.membership->finishLeave();
+    peerServer_->shutdown(handOffGrace);
+    return interrupted;
+}
+
+} // namespace jy
--- a/modules/jy_router/orders/OrderDriver.cpp
+++ b/modules/jy_router/orders/OrderDriver.cpp
@@ -58,7 +58,7 @@
              : sent.error().message);
 }
 
-TimePoint OrderDriver::nextLoadTime(const DesiredState &state, const EngineOrder &order) const
+TimePoint OrderDriver::nextLoadTime(const DesiredState &state, const PlannedOrder &order) const
 {
     const auto rate = state.global.weightBytesPerSecond;
     if (rate == 0)
--- a/modules/jy_router/orders/OrderDriver.h
+++ b/modules/jy_router/orders/OrderDriver.h
@@ -26,7 +26,7 @@
     std::function<Result<std::uint64_t>(std::chrono::milliseconds timeToLive)> acquireOrRenew;
     std::function<void()> release;
 
-    std::function<Result<void>(const EngineOrder &order, std::uint64_t fencingToken)> send;
+    std::function<Result<void>(const PlannedOrder &order, std::uint64_t fencingToken)> send;
 
     /** Records a timeline event. */
     std::function<void(const std::string &kind, const ServerId &server, const std::string &detail)>
@@ -56,7 +56,7 @@
 private:
     bool keepLease();
     void sendNext(const DesiredState &state);
-    TimePoint nextLoadTime(const DesiredState &state, const EngineOrder &order) const;
+    TimePoint nextLoadTime(const DesiredState &state, const PlannedOrder &order) const;
 
     OrderDriverDependencies dependencies_;
     OrderLeaseSettings settings_;
--- a/modules/jy_router/ownership/ReservationClient.cpp
+++ b/modules/jy_router/ownership/ReservationClient.cpp
@@ -53,7 +53,7 @@
     for (std::size_t i = 0; i < request.candidates.size(); ++i) {
         if (dependencies_.now() >= request.deadline)
             return failure(ErrorKind::DeadlineExceeded, "no server admitted the request in time");
-        auto placed = tryServer(request, request.candidates[i], i > 0, false);
+        auto placed = placeAt(request, request.candidates[i], i > 0, false);
         if (placed)
             return placed;
         last = placed.error();
@@ -61,7 +61,7 @@
     const bool capacity = last.kind == ErrorKind::OverBound || last.kind == ErrorKind::Cold
         || last.kind == ErrorKind::Overloaded;
     if (capacity) {
-        auto placed = tryServer(request, request.candidates.front(), true, true);
+        auto placed = placeAt(request, request.candidates.front(), true, true);
         if (placed)
             return placed;
         last = placed.error();
@@ -69,7 +69,7 @@
     return failure(last.kind, last.message, last.retryAfter);
 }
 
-Result<Placed> ReservationClient::tryServer(const PlaceRequest &request, const ServerId &server,
+Result<Placed> ReservationClient::placeAt(const PlaceRequest &request, const ServerId &server,
                                             bool displaced, bool lastResort)
 {
     const auto &home = request.candidates.front();
--- a/modules/jy_router/ownership/ReservationClient.h
+++ b/modules/jy_router/ownership/ReservationClient.h
@@ -78,6 +78,16 @@
      */
     Result<Placed> place(const PlaceRequest &request);
 
+    /**
+     * Obtains a place at one server; follows an exception of the chat.
+     *
+     * @param request its first candidate is the home server
+     * @param displaced the server is not the home, or its exception was tried
+     * @param lastResort all candidates have refused, so the request may wait in the queue
+     */
+    Result<Placed> placeAt(const PlaceRequest &request, const ServerId &server, bool displaced,
+                           bool lastResort);
+
     /**
      * Gives a place back; returns at once.
      *
@@ -106,8 +116,6 @@
     Result<Outcome> reserve(const PlaceRequest &request, const ServerId &server, bool displaced,
                             bool lastResort);
     Result<Outcome> reserveAt(const InstanceId &owner, const peer::ReserveRequest &request);
-    Result<Placed> tryServer(const PlaceRequest &request, const ServerId &server, bool displaced,
-                             bool lastResort);
     peer::ReserveRequest message(const PlaceRequest &request, const ServerId &server) const;
     void sendRelease(InstanceId owner, const peer::ReleaseRequest &request);
     void report();
--- /dev/null
+++ b/programs/jyrouter/main.cpp
@@ -0,0 +1,47 @@
+#include "jy_router/assembly/Router.h"
+#include "jy_runtime/jy_runtime.h"
+
+#include <iostream>
+
+namespace {
+
+using jy::ExitCode;
+
+ExitCode runRouter(const jy::RouterSettings &settings, const std::string &settingsFile)
+{
+    jy::setUpLogging(settings.instance.id.value(), settings.parsedLogLevel());
+    jy::EventLoop loop;
+    auto exitCode = ExitCode::Ok;
+    loop.run([&] {
+        auto router = jy::Router::create(loop, settings, settingsFile);
+        if (!router) {
+            exitCode = jy::reportStartError(router.error(), std::cerr);
+            return;
+        }
+        const auto result = router.value()->run();
+        if (!result) {
+            std::cerr << "jyrouter: " << result.error().message << '\n';
+            exitCode = ExitCode::Failure;
+        }
+    });
+    return exitCode;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const jy::ProgramDescription program{
+        .name = "jyrouter",
+        .summary = "Routes chats and service calls to backend servers as one of a fleet."};
+    const auto options = jy::parseProgramOptions(argc, argv, program);
+    if (const auto *exitCode = std::get_if<ExitCode>(&options))
+        return static_cast<int>(*exitCode);
+    const auto &parsed = std::get<jy::ProgramOptions>(options);
+    const auto settings =
+        jy::loadProgramSettings<jy::RouterSettings>(parsed, std::cout, std::cerr);
+    if (const auto *exitCode = std::get_if<ExitCode>(&settings))
+        return static_cast<int>(*exitCode);
+    return static_cast<int>(
+        runRouter(std::get<jy::RouterSettings>(settings), parsed.settingsFile));
+}
--- a/tests/jy_core/MembershipTest.cpp
+++ b/tests/jy_core/MembershipTest.cpp
@@ -1,5 +1,6 @@
 #include "MembershipFleet.h"
 
+#include "jy_core/config/ConfigParts.h"
 #include "jy_core/membership/PoolAggregator.h"
 #include "jy_core/membership/RouterChoice.h"
 
--- a/tests/jy_router/OrderDriverTest.cpp
+++ b/tests/jy_router/OrderDriverTest.cpp
@@ -42,7 +42,7 @@
             return std::uint64_t{5};
         };
         hooks.release = [] {};
-        hooks.send = [this](const jy::EngineOrder &order, std::uint64_t) -> jy::Result<void> {
+        hooks.send = [this](const jy::PlannedOrder &order, std::uint64_t) -> jy::Result<void> {
             sent.push_back(order.server);
             return jy::success();
         };
