--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -8,6 +8,11 @@
     g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
 )
 
+# Programs that tests, benchmark and demo start.
+STANDINS=(
+    standin_kv standin_instances standin_weights standin_engine standin_service fault_proxy loadgen
+)
+
 # Installs what is missing; does nothing when every package is there.
 install_packages() {
     local missing=()
--- a/standins/standin_engine/Engine.cpp
+++ b/standins/standin_engine/Engine.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t keptGenerations = 256;
 constexpr std::size_t knownRequests = 100000;
 constexpr std::size_t firstTokenSamples = 32;
+constexpr std::size_t keptBadTimes = 16;
 
 TimePoint now()
 {
@@ -103,6 +104,7 @@
     ++started_;
     ++startedByVersion_[version_];
     lastStartUnixMs_ = unixMs();
+    lastStartByVersion_[version_] = lastStartUnixMs_;
     if (runs_.size() < knownRequests)
         ++runs_[generation->requestId];
     if (!bearsOneMore()) {
@@ -167,6 +169,8 @@
     auto firstToken = std::chrono::duration_cast<std::chrono::milliseconds>(
         knobs.hitTime + (knobs.missTime - knobs.hitTime) * missing);
     const bool bad = turnedBad(generation);
+    if (bad && badUnixMs_.size() < keptBadTimes)
+        badUnixMs_.push_back(unixMs());
     if (bad && knobs.bad.mode == "slow")
         firstToken = std::chrono::milliseconds(static_cast<std::int64_t>(
             static_cast<double>(firstToken.count()) * knobs.bad.slowFactor));
@@ -193,14 +197,15 @@
 
 object Engine::chunk(const Generation &generation, const std::string &content) const
 {
-    return object{
-        {"id", generation.id},
-        {"object", "chat.completion.chunk"},
-        {"model", model_},
-        {"system_fingerprint", id_ + '/' + generation.version},
-        {"choices",
-         array{object{
-             {"index", 0}, {"delta", object{{"content", content}}}, {"finish_reason", nullptr}}}}};
+    object choice{{"index", 0}, {"finish_reason", nullptr}};
+    choice["delta"] = object{{"content", content}};
+    array choices;
+    choices.push_back(std::move(choice));
+    return object{{"id", generation.id},
+                  {"object", "chat.completion.chunk"},
+                  {"model", model_},
+                  {"system_fingerprint", id_ + '/' + generation.version},
+                  {"choices", std::move(choices)}};
 }
 
 void Engine::sendStream(Generation &generation, HttpResponder &responder)
@@ -292,6 +297,8 @@
                   {"stale_orders", staleOrders_},
                   {"max_running", maxRunning_},
                   {"last_start_unix_ms", lastStartUnixMs_},
+                  {"last_start_by_version", boost::json::value_from(lastStartByVersion_)},
+                  {"bad_unix_ms", boost::json::value_from(badUnixMs_)},
                   {"cached_prefixes", cachedPrefixes_},
                   {"prefixes", allPrefixes_}};
 }
--- a/standins/standin_engine/Engine.h
+++ b/standins/standin_engine/Engine.h
@@ -111,6 +111,10 @@
     int maxRunning_ = 0;
     std::int64_t lastStartUnixMs_ = 0;
     std::map<std::string, std::uint64_t> startedByVersion_;
+    std::map<std::string, std::int64_t> lastStartByVersion_;
+
+    /** Times of the first answers that a bad version spoilt. */
+    std::vector<std::int64_t> badUnixMs_;
 };
 
 } // namespace jy::standins
