Let returning chats wait at home; keep the latency baseline from adapting

The load bound displaced returning chats to cold servers. The field ReserveRequest.retry now means that the request may wait although the pool has room.

The baseline of the concurrency limit rose over 2,000 requests, so the limit of an engine that had slowed down recovered while it was still slow. It now rises over 20,000 requests and is forgotten at a restart of the server.

--- a/bench/placement/LoadModel.cpp
+++ b/bench/placement/LoadModel.cpp
@@ -61,6 +61,14 @@
     int restarts = 0;
 };
 
+struct Request
+{
+    std::uint64_t chat = 0;
+    bool returning = false;
+    TimePoint since;
+    std::vector<ServerId> ranked;
+};
+
 struct Finish
 {
     TimePoint at;
@@ -104,6 +112,8 @@
             while (nextRequest < end) {
                 finishUntil(nextRequest);
                 now_ = nextRequest;
+                ledger_.tick(now_);
+                handleActions();
                 request(pickChat());
                 nextRequest += std::chrono::duration_cast<Duration>(
                     std::chrono::duration<double>(gap(random_)));
@@ -111,10 +121,13 @@
             finishUntil(end);
             now_ = end;
             ledger_.tick(now_);
+            handleActions();
             sampleSkew(skewSum, skewSeconds);
             if (shape_.churnInterval > 0 && second % shape_.churnInterval == 0)
                 churn();
+            handleActions();
         }
+        figures_.meanWaitMs /= std::max(1, figures_.waited);
         figures_.meanSkew = skewSum / std::max(1, skewSeconds);
         return figures_;
     }
@@ -159,61 +172,115 @@
     void request(std::uint64_t chat)
     {
         ++figures_.requests;
-        ServerId chosen;
-        ReservationKey key;
-        bool displaced = false;
-        if (policy_ == Policy::OwnerAdmitted) {
-            const auto ranked = directory_.candidates(
-                {.workspace = workspace, .model = model, .chatHash = chat}, now_, wall);
-            if (ranked)
-                std::tie(chosen, key, displaced) = reserve(ranked.value(), chat);
-        } else if (policy_ == Policy::PlainHash) {
-            const auto ranked = directory_.candidates(
-                {.workspace = workspace, .model = model, .chatHash = chat, .maxCount = 1}, now_,
-                wall);
-            if (ranked)
-                chosen = ranked.value().front();
-        } else {
-            chosen = idealEngine(chat);
-        }
         const bool returning = !seen_.insert(chat).second;
         figures_.returning += returning ? 1 : 0;
-        if (chosen.empty()) {
+        Request request{.chat = chat, .returning = returning, .since = now_};
+        const bool bounded = policy_ == Policy::OwnerAdmitted || policy_ == Policy::GossipLoads;
+        const std::size_t count = bounded ? 3 : 1;
+        const auto ranked = directory_.candidates(
+            {.workspace = workspace, .model = model, .chatHash = chat, .maxCount = count}, now_,
+            wall);
+        if (!ranked) {
             ++figures_.refused;
-            return;
+        } else if (policy_ == Policy::OwnerAdmitted) {
+            request.ranked = ranked.value();
+            reserve(request, 0);
+            handleActions();
+        } else if (policy_ == Policy::GossipLoads) {
+            serve(request, gossipChoice(ranked.value()), {}, false);
+        } else {
+            serve(request,
+                  policy_ == Policy::PlainHash ? ranked.value().front() : idealEngine(chat), {},
+                  false);
         }
-        auto &engine = engines_.at(chosen);
-        const bool warm = engine.cache.contains(chat);
-        figures_.warm += returning && warm ? 1 : 0;
-        engine.cache.touch(chat);
+    }
+
+    void serve(const Request &request, const ServerId &server, const ReservationKey &key,
+               bool displaced)
+    {
+        auto &engine = engines_.at(server);
+        const bool warm = engine.cache.contains(request.chat);
+        figures_.warm += request.returning && warm ? 1 : 0;
+        engine.cache.touch(request.chat);
         ++engine.inFlight;
-        finishes_.push(
-            {now_ + (warm ? warmService : coldService), chosen, chat, key, warm, displaced});
+        finishes_.push({now_ + (warm ? warmService : coldService), server, request.chat, key, warm,
+                        displaced});
     }
 
-    std::tuple<ServerId, ReservationKey, bool> reserve(const std::vector<ServerId> &ranked,
-                                                       std::uint64_t chat)
+    /** Tries the candidates from @p first on, as ReservationClient does. */
+    void reserve(const Request &request, std::size_t first)
     {
-        ReserveInput input{.holder = router, .workspace = workspace, .chatHash = chat};
-        for (const auto &server : ranked) {
-            input.server = server;
-            input.displaced = server != ranked.front();
+        for (std::size_t i = first; i < request.ranked.size(); ++i) {
+            ReserveInput input{.holder = router,
+                               .server = request.ranked[i],
+                               .workspace = workspace,
+                               .chatHash = request.chat,
+                               .displaced = i > 0};
+            if (i == 0 && request.returning) {
+                input.maxWait = shape_.homeWait;
+                input.mayWait = true;
+            }
             auto result = ledger_.reserve(input, now_);
             if (const auto *redirected = std::get_if<Redirected>(&result)) {
+                auto other = input;
+                other.displaced = true;
+                other.maxWait = {};
+                other.server = redirected->server;
+                if (!directory_.refusal(other.server, request.chat, now_, wall)) {
+                    const auto elsewhere = ledger_.reserve(other, now_);
+                    if (const auto *granted = std::get_if<Granted>(&elsewhere))
+                        return serve(request, other.server, granted->key, false);
+                }
                 input.displaced = true;
-                input.server = redirected->server;
-                const auto usable = !directory_.refusal(input.server, chat, now_, wall);
-                const auto other = usable ? ledger_.reserve(input, now_) : ReserveResult{};
-                const auto *granted = std::get_if<Granted>(&other);
-                if (usable && granted != nullptr)
-                    return {input.server, granted->key, false};
-                input.server = server;
                 result = ledger_.reserve(input, now_);
             }
             if (const auto *granted = std::get_if<Granted>(&result))
-                return {server, granted->key, server != ranked.front()};
+                return serve(request, input.server, granted->key, i > 0);
+            if (const auto *queued = std::get_if<Queued>(&result)) {
+                waiting_[queued->ticket] = request;
+                return;
+            }
+        }
+        ++figures_.refused;
+    }
+
+    void handleActions()
+    {
+        for (const auto &action : ledger_.takeActions()) {
+            if (const auto *granted = std::get_if<GrantQueued>(&action)) {
+                const auto request = waiting_.extract(granted->ticket).mapped();
+                ++figures_.waited;
+                figures_.meanWaitMs += static_cast<double>((now_ - request.since) / 1ms);
+                serve(request, request.ranked.front(), granted->key, false);
+            } else if (const auto *refused = std::get_if<RefuseQueued>(&action)) {
+                const auto request = waiting_.extract(refused->ticket).mapped();
+                reserve(request, 1);
+            }
+        }
+    }
+
+    /** The first candidate below the bound, as one router sees it: the loads of the last second
+     *  and what the router itself has sent since. */
+    ServerId gossipChoice(const std::vector<ServerId> &ranked)
+    {
+        auto &sent = sentSince_[std::uniform_int_distribution<int>(0, shape_.routers - 1)(random_)];
+        double total = 1;
+        for (const auto &[id, load] : gossiped_)
+            total += load;
+        for (const auto &[id, count] : sent)
+            total += count;
+        const double bound =
+            std::max<double>(loadFloor, std::ceil(multiple * total / shape_.engines));
+        const auto seen = [&](const ServerId &id) { return gossiped_[id] + sent[id]; };
+        auto chosen = std::find_if(ranked.begin(), ranked.end(),
+                                   [&](const auto &id) { return seen(id) < bound; });
+        if (chosen == ranked.end()) {
+            chosen =
+                std::min_element(ranked.begin(), ranked.end(),
+                                 [&](const auto &a, const auto &b) { return seen(a) < seen(b); });
         }
-        return {};
+        ++sent[*chosen];
+        return *chosen;
     }
 
     ServerId idealEngine(std::uint64_t chat) const
@@ -248,7 +315,8 @@
                                               .total = done.warm ? warmService : coldService,
                                               .cacheHit = done.warm}},
                                   now_);
-            if (!done.displaced)
+            handleActions();
+            if (!done.displaced || !shape_.exceptions)
                 continue;
             const auto home = directory_.candidates(
                 {.workspace = workspace, .model = model, .chatHash = done.chat, .maxCount = 1},
@@ -263,7 +331,10 @@
         int total = 0;
         int highest = 0;
         int up = 0;
+        gossiped_.clear();
+        sentSince_.clear();
         for (const auto &[id, engine] : engines_) {
+            gossiped_[id] = engine.inFlight;
             total += engine.inFlight;
             highest = std::max(highest, engine.inFlight);
             up += engine.up ? 1 : 0;
@@ -324,6 +395,9 @@
     TimePoint now_ = start;
     ServerId down_;
     std::set<std::uint64_t> seen_;
+    std::map<std::uint64_t, Request> waiting_;
+    std::map<ServerId, int> gossiped_;
+    std::map<int, std::map<ServerId, int>> sentSince_;
     std::priority_queue<Finish, std::vector<Finish>, std::greater<>> finishes_;
     LoadFigures figures_;
 };
@@ -337,6 +411,8 @@
         return "ideal";
     case Policy::PlainHash:
         return "plain rendezvous";
+    case Policy::GossipLoads:
+        return "gossip of loads";
     default:
         return "owner-admitted";
     }
--- a/bench/placement/LoadModel.h
+++ b/bench/placement/LoadModel.h
@@ -17,6 +17,7 @@
 enum class Policy {
     Ideal, /**< knows every engine's cache: any warm engine, otherwise the least loaded one */
     PlainHash, /**< the first-ranked engine that is up, without limits or exceptions */
+    GossipLoads, /**< each router applies the load bound to loads that are up to 1 s old */
     OwnerAdmitted, /**< this project: candidates, ledger, bounded load, exceptions */
 };
 
@@ -27,6 +28,10 @@
 struct LoadShape
 {
     int engines = 18;
+
+    /** Routers that choose independently; only for GossipLoads. */
+    int routers = 8;
+
     int chats = 20000;
 
     /** Chats whose prefix fits into one engine's cache. */
@@ -41,6 +46,12 @@
 
     /** Seconds between two changes: flap, restart with an empty cache, or replacement; 0: none. */
     int churnInterval = 0;
+
+    /** Whether owners remember where displaced chats went; only for OwnerAdmitted. */
+    bool exceptions = true;
+
+    /** Longest wait of a returning chat at its home engine. */
+    std::chrono::milliseconds homeWait{0};
 };
 
 /** Figures of one run. */
@@ -52,8 +63,13 @@
     /** Returning requests that reached an engine with their prefix. */
     int warm = 0;
 
+    /** Refused by all candidates; a router then lets the request wait at the home engine. */
     int refused = 0;
 
+    /** Requests that waited at their home engine and were served there, and their mean wait. */
+    int waited = 0;
+    double meanWaitMs = 0;
+
     /** Mean and maximum over all seconds of the highest load over the mean load. */
     double meanSkew = 0;
     double maxSkew = 0;
--- a/bench/placement/PlacementBench.cpp
+++ b/bench/placement/PlacementBench.cpp
@@ -204,13 +204,73 @@
     return static_cast<int>(highest);
 }
 
+/** How the limit of the modelled engine is set. */
+enum class LimitKind {
+    Fixed,
+    ErrorsOnly,
+    Gradient,
+};
+
+/**
+ * Drives one engine with more requests than it can take. Its time to first token is 100 ms up to
+ * @p knee requests in flight, grows linearly beyond, and it fails requests beyond three times the
+ * knee. After a third of the run the knee falls from 12 to 4, as on a version that needs more
+ * memory.
+ */
+void measureLimitKind(std::ostream &out, LimitKind kind, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    ConcurrencyLimit limit({.initial = kind == LimitKind::Fixed ? 16.0 : 4.0, .maximum = 16});
+    std::vector<std::pair<TimePoint, RequestSample>> running;
+    int failed = 0;
+    int slow = 0;
+    int completed = 0;
+    constexpr int steps = 60000;
+    for (int step = 0; step < steps; ++step) {
+        const auto now = start + step * 10ms;
+        const int knee = step < steps / 3 ? 12 : 4;
+        std::erase_if(running, [&](const auto &item) {
+            if (item.first > now)
+                return false;
+            auto sample = item.second;
+            failed += sample.ok ? 0 : 1;
+            completed += sample.ok ? 1 : 0;
+            slow += sample.ok && sample.firstToken > 200ms ? 1 : 0;
+            if (kind == LimitKind::ErrorsOnly && sample.ok)
+                sample.firstToken = 100ms;
+            if (kind != LimitKind::Fixed)
+                limit.onSample(sample, static_cast<int>(running.size()), now);
+            return true;
+        });
+        if (static_cast<int>(running.size()) >= static_cast<int>(limit.limit()))
+            continue;
+        const int load = static_cast<int>(running.size()) + 1;
+        const double noise = std::uniform_real_distribution<double>(0.8, 1.2)(random);
+        const double factor = noise * std::max(1.0, static_cast<double>(load) / knee);
+        const auto firstToken = std::chrono::duration_cast<Duration>(factor * 100ms);
+        running.emplace_back(now + 10 * firstToken,
+                             RequestSample{.ok = load <= 3 * knee,
+                                           .firstToken = firstToken,
+                                           .total = 10 * firstToken});
+    }
+    out << "  "
+        << (kind == LimitKind::Fixed          ? "fixed 16"
+                : kind == LimitKind::Gradient ? "gradient"
+                                              : "errors only")
+        << ": completed " << completed << ", first token over 200 ms " << percent(slow, completed)
+        << " %, failed " << failed << ", limit at the end " << limit.limit() << '\n';
+}
+
 void printLoad(std::ostream &out, Policy policy, const LoadFigures &figures)
 {
     out << "  " << std::setw(16) << toString(policy) << ": warm "
         << percent(figures.warm, figures.returning) << " % of " << figures.returning
         << " returning, refused " << percent(figures.refused, figures.requests)
         << " %, max/mean load mean " << figures.meanSkew << " highest " << figures.maxSkew
-        << ", seconds over bound " << figures.secondsOverBound << '\n';
+        << ", seconds over bound " << figures.secondsOverBound;
+    if (figures.waited > 0)
+        out << ", " << figures.waited << " waited " << figures.meanWaitMs << " ms on average";
+    out << '\n';
 }
 
 } // namespace
@@ -229,6 +289,17 @@
                 << " s, seed " << seed << '\n';
             for (const auto policy : {Policy::Ideal, Policy::PlainHash, Policy::OwnerAdmitted})
                 printLoad(out, policy, runLoad(policy, shape, seed));
+            auto forgetful = shape;
+            forgetful.exceptions = false;
+            out << "  without exceptions:\n";
+            printLoad(out, Policy::OwnerAdmitted, runLoad(Policy::OwnerAdmitted, forgetful, seed));
+            for (const auto wait : {200ms, 500ms}) {
+                auto waiting = shape;
+                waiting.homeWait = wait;
+                out << "  home wait of at most " << wait.count() << " ms:\n";
+                printLoad(out, Policy::OwnerAdmitted,
+                          runLoad(Policy::OwnerAdmitted, waiting, seed));
+            }
         }
     }
 }
@@ -244,8 +315,14 @@
                               .surgeChats = 8};
         out << "load skew, " << engines << " engines, 40 % of requests from 8 chats, seed " << seed
             << '\n';
-        for (const auto policy : {Policy::PlainHash, Policy::OwnerAdmitted})
-            printLoad(out, policy, runLoad(policy, shape, seed));
+        printLoad(out, Policy::PlainHash, runLoad(Policy::PlainHash, shape, seed));
+        for (const int routers : {8, 360}) {
+            auto gossip = shape;
+            gossip.routers = routers;
+            out << "  " << routers << " routers:\n";
+            printLoad(out, Policy::GossipLoads, runLoad(Policy::GossipLoads, gossip, seed));
+        }
+        printLoad(out, Policy::OwnerAdmitted, runLoad(Policy::OwnerAdmitted, shape, seed));
     }
 }
 
@@ -267,4 +344,11 @@
     }
 }
 
+void measureLimits(std::ostream &out, std::uint64_t seed)
+{
+    out << "limit of a saturated engine that slows down, seed " << seed << '\n';
+    for (const auto kind : {LimitKind::Fixed, LimitKind::ErrorsOnly, LimitKind::Gradient})
+        measureLimitKind(out, kind, seed);
+}
+
 } // namespace jy::bench
--- a/bench/placement/PlacementBench.h
+++ b/bench/placement/PlacementBench.h
@@ -10,7 +10,7 @@
 void measureCacheReuse(std::ostream &out, std::uint64_t seed);
 
 /** Highest over mean load for 9 and 18 engines with a surging workspace: plain rendezvous hashing,
- *  this project. */
+ *  local choice by gossiped loads, this project. */
 void measureLoadSkew(std::ostream &out, std::uint64_t seed);
 
 /** CPU time and bytes per owned server, displaced chat, pool server and workspace, each at three
@@ -21,4 +21,7 @@
  *  recovery, against the bound limit + max(1, limit / 4). */
 void measureOwnershipOvershoot(std::ostream &out, std::uint64_t seed);
 
+/** A saturated engine that slows down: fixed limit, limit that falls on errors only, gradient. */
+void measureLimits(std::ostream &out, std::uint64_t seed);
+
 } // namespace jy::bench
--- a/bench/placement/main.cpp
+++ b/bench/placement/main.cpp
@@ -12,6 +12,7 @@
     jy::bench::measureCacheReuse(std::cout, seed);
     jy::bench::measureLoadSkew(std::cout, seed);
     jy::bench::measureOwnershipOvershoot(std::cout, seed);
+    jy::bench::measureLimits(std::cout, seed);
     jy::bench::measureCosts(std::cout, seed);
     return 0;
 }
--- a/modules/jy_core/ledger/LedgerTypes.h
+++ b/modules/jy_core/ledger/LedgerTypes.h
@@ -45,8 +45,9 @@
     /** The server is not the chat's home, or its exception was tried: no redirect. */
     bool displaced = false;
 
-    /** All candidates have refused: wait here even if the pool has room elsewhere. */
-    bool lastResort = false;
+    /** Wait here even if the pool has room elsewhere: all candidates have refused, or the chat's
+     *  prefix at this server is worth a short wait. */
+    bool mayWait = false;
 };
 
 struct Granted
--- a/modules/jy_core/ledger/ServerLedger.cpp
+++ b/modules/jy_core/ledger/ServerLedger.cpp
@@ -81,7 +81,7 @@
             exceptions_.erase(input.chatHash);
         return Granted{key};
     }
-    if ((pool.saturated || input.lastResort) && input.maxWait > Duration::zero())
+    if ((pool.saturated || input.mayWait) && input.maxWait > Duration::zero())
         return enqueue(input, sequence, pool, now);
     return Refused{refusalFor(pool, now)};
 }
@@ -280,6 +280,8 @@
 
 void ServerLedger::setStartIdentity(const std::string &identity, TimePoint now)
 {
+    if (!ramp_.startIdentity().empty() && identity != ramp_.startIdentity())
+        limit_.resetBaselines();
     ramp_.onStartIdentity(identity, now);
 }
 
--- a/modules/jy_core/limits/ConcurrencyLimit.cpp
+++ b/modules/jy_core/limits/ConcurrencyLimit.cpp
@@ -11,10 +11,11 @@
 // Weight of one sample in the short-term mean: about the last 10 requests.
 constexpr double ratioWeight = 0.2;
 
-// The baseline follows improvements within about 20 requests, but a rise only over about 2,000, so
-// that sustained congestion does not become the new normal.
+// The baseline follows improvements within about 20 requests, but a rise only over about 20,000,
+// so that sustained congestion does not become the new normal. With 2,000 requests the limit of an
+// engine that had slowed down rose again to 12 within 7 minutes; see docs/decisions/limits.md.
 constexpr double baselineFallWeight = 0.05;
-constexpr double baselineRiseWeight = 0.0005;
+constexpr double baselineRiseWeight = 0.00005;
 
 // One step never removes more than half: a single slow prompt must not close a server.
 constexpr double smallestGradient = 0.5;
@@ -73,6 +74,13 @@
     limit_ = std::clamp(limit, minimumLimit, std::max(minimumLimit, settings_.maximum));
 }
 
+void ConcurrencyLimit::resetBaselines()
+{
+    hitBaselineMs_ = 0;
+    missBaselineMs_ = 0;
+    ratio_ = 1;
+}
+
 void ConcurrencyLimit::setMaximum(double maximum)
 {
     settings_.maximum = std::max(minimumLimit, maximum);
--- a/modules/jy_core/limits/ConcurrencyLimit.h
+++ b/modules/jy_core/limits/ConcurrencyLimit.h
@@ -57,6 +57,9 @@
     double baselineMs() const { return missBaselineMs_; }
     void setBaselineMs(double baseline) { missBaselineMs_ = baseline; }
 
+    /** Forgets the baselines: a restarted server may run another version. */
+    void resetBaselines();
+
 private:
     void onGradient(double gradient, int inFlight);
     void decrease(double factor);
--- a/modules/jy_router/ownership/OwnerService.cpp
+++ b/modules/jy_router/ownership/OwnerService.cpp
@@ -51,7 +51,7 @@
                        .maxWait =
                            queueWait(request, dependencies_.directory.desiredState()->global),
                        .displaced = request.displaced(),
-                       .lastResort = request.displaced() && request.retry()};
+                       .mayWait = request.retry()};
     const auto now = dependencies_.now();
     auto result = ledger_.reserve(input, now);
     if (const auto *redirected = std::get_if<Redirected>(&result)) {
--- a/modules/jy_router/ownership/ReservationClient.cpp
+++ b/modules/jy_router/ownership/ReservationClient.cpp
@@ -22,6 +22,9 @@
 // A decision by the owner takes well under a millisecond; what exceeds this is a failure.
 constexpr std::chrono::milliseconds reserveTimeout{500};
 
+constexpr std::chrono::milliseconds noWait{0};
+constexpr std::chrono::milliseconds untilDeadline{UINT32_MAX};
+
 // How long a router that does not own a server avoids it after its owner called it down.
 constexpr std::chrono::seconds downHold{3};
 
@@ -53,7 +56,8 @@
     for (std::size_t i = 0; i < request.candidates.size(); ++i) {
         if (dependencies_.now() >= request.deadline)
             return failure(ErrorKind::DeadlineExceeded, "no server admitted the request in time");
-        auto placed = tryServer(request, request.candidates[i], i > 0, false);
+        auto placed = tryServer(request, request.candidates[i],
+                                {.displaced = i > 0, .wait = i == 0 ? request.homeWait : noWait});
         if (placed)
             return placed;
         last = placed.error();
@@ -61,7 +65,8 @@
     const bool capacity = last.kind == ErrorKind::OverBound || last.kind == ErrorKind::Cold
         || last.kind == ErrorKind::Overloaded;
     if (capacity) {
-        auto placed = tryServer(request, request.candidates.front(), true, true);
+        auto placed = tryServer(request, request.candidates.front(),
+                                {.displaced = true, .wait = untilDeadline});
         if (placed)
             return placed;
         last = placed.error();
@@ -70,20 +75,20 @@
 }
 
 Result<Placed> ReservationClient::tryServer(const PlaceRequest &request, const ServerId &server,
-                                            bool displaced, bool lastResort)
+                                            Attempt attempt)
 {
     const auto &home = request.candidates.front();
     const auto placedAt = [&](const ReservationKey &key, const ServerId &chosen, bool moved) {
         held_[key] = {chosen, request.workspace};
         return Placed{key, chosen, home, request.workspace, request.chatHash, moved};
     };
-    auto outcome = reserve(request, server, displaced, lastResort);
+    auto outcome = reserve(request, server, attempt);
     if (outcome && !outcome.value().redirect.empty()) {
         const ServerId other = outcome.value().redirect;
-        const auto redirected = reserve(request, other, true, false);
+        const auto redirected = reserve(request, other, {.displaced = true});
         if (redirected)
             return placedAt(redirected.value().key, other, false);
-        outcome = reserve(request, server, true, lastResort);
+        outcome = reserve(request, server, {.displaced = true, .wait = attempt.wait});
     }
     if (!outcome)
         return failure(outcome.error().kind, outcome.error().message, outcome.error().retryAfter);
@@ -109,13 +114,16 @@
     return message;
 }
 
-Result<ReservationClient::Outcome> ReservationClient::reserve(const PlaceRequest &request,
-                                                              const ServerId &server,
-                                                              bool displaced, bool lastResort)
+Result<ReservationClient::Outcome>
+ReservationClient::reserve(const PlaceRequest &request, const ServerId &server, Attempt attempt)
 {
     auto wanted = message(request, server);
-    wanted.set_displaced(displaced);
-    wanted.set_retry(lastResort);
+    wanted.set_displaced(attempt.displaced);
+    if (attempt.wait > noWait) {
+        wanted.set_retry(true);
+        wanted.set_deadline_ms(
+            std::min(wanted.deadline_ms(), static_cast<std::uint32_t>(attempt.wait.count())));
+    }
     const auto owner = ownerOf(server);
     if (owner.empty())
         return failure(ErrorKind::PeerUnreachable, "server " + server.value() + " has no owner");
--- a/modules/jy_router/ownership/ReservationClient.h
+++ b/modules/jy_router/ownership/ReservationClient.h
@@ -38,6 +38,11 @@
     std::uint64_t chatHash = 0;
     Priority priority = Priority::Normal;
     TimePoint deadline;
+
+    /** Longest wait at the home server before the next one is tried. Set it for a returning chat,
+     *  whose prefix is worth more than the wait. */
+    std::chrono::milliseconds homeWait{0};
+
     std::string requestId;
     std::string route;
 };
@@ -103,11 +108,19 @@
         WorkspaceId workspace;
     };
 
-    Result<Outcome> reserve(const PlaceRequest &request, const ServerId &server, bool displaced,
-                            bool lastResort);
+    /** How a server is asked. */
+    struct Attempt
+    {
+        /** No redirect: the server is not the home, or its exception was tried. */
+        bool displaced = false;
+
+        /** Longest wait for a place; zero to wait only while the whole pool is saturated. */
+        std::chrono::milliseconds wait{0};
+    };
+
+    Result<Outcome> reserve(const PlaceRequest &request, const ServerId &server, Attempt attempt);
     Result<Outcome> reserveAt(const InstanceId &owner, const peer::ReserveRequest &request);
-    Result<Placed> tryServer(const PlaceRequest &request, const ServerId &server, bool displaced,
-                             bool lastResort);
+    Result<Placed> tryServer(const PlaceRequest &request, const ServerId &server, Attempt attempt);
     peer::ReserveRequest message(const PlaceRequest &request, const ServerId &server) const;
     void sendRelease(InstanceId owner, const peer::ReleaseRequest &request);
     void report();
--- a/tests/jy_core/LedgerTest.cpp
+++ b/tests/jy_core/LedgerTest.cpp
@@ -203,7 +203,7 @@
         ASSERT_TRUE(grant(ledger, request(), start));
         auto waiting = request();
         waiting.maxWait = 2s;
-        waiting.lastResort = true;
+        waiting.mayWait = true;
         ASSERT_TRUE(std::holds_alternative<Queued>(ledger.reserve(waiting, start)));
         const auto kind = close ? ErrorKind::DomainOut : ErrorKind::NotOwner;
         if (close)
@@ -246,7 +246,7 @@
         for (const auto *name : {"large", "large", "large", "large", "small", "small"}) {
             auto input = request("h", name);
             input.maxWait = 2s;
-            input.lastResort = true;
+            input.mayWait = true;
             const auto result = ledger.reserve(input, now);
             if (const auto *granted = std::get_if<Granted>(&result))
                 running.emplace_back(granted->key, name);
--- a/tests/jy_router/OwnerServiceTest.cpp
+++ b/tests/jy_router/OwnerServiceTest.cpp
@@ -343,6 +343,33 @@
     }
 }
 
+// Guards against a returning chat that is moved to a cold server although its home is free soon.
+TEST(OwnerService, AReturningChatWaitsBrieflyAtItsHome)
+{
+    EventLoop loop;
+    loop.run([] {
+        Fleet fleet(2, 1);
+        auto &a = fleet.add("a");
+        fleet.converge();
+        fleet.run(3s);
+        const auto blocker = fleet.place(a, {first});
+        std::optional<Result<Placed>> answer;
+        EventLoop::spawn([&] {
+            answer = a.client->place({.candidates = {first, second},
+                                      .workspace = WorkspaceId("w"),
+                                      .chatHash = 5,
+                                      .deadline = fleet.now + 2s,
+                                      .homeWait = 200ms});
+        });
+        EventLoop::sleepFor(5ms);
+        ASSERT_FALSE(answer);
+        fleet.release(a, blocker.value());
+        EventLoop::sleepFor(5ms);
+        ASSERT_TRUE(answer && *answer);
+        EXPECT_EQ(answer->value().server, first);
+    });
+}
+
 // Guards against work for a dead server, and against routers that keep asking for it.
 TEST(OwnerService, AServerIsDownAfterTwoFailedProbesAndUpAfterOneSuccess)
 {
