Leave the choice among refusing servers to the reservation client

ReservationClient::place() already tries the ranked servers and waits at the home server when all refuse; AttemptLoop did the same with a hook per server, so connecting the two would have queued at the first server at once.

The hook is now place(remaining servers). The test that a refusal everywhere waits at the home server is replaced by one for the error that callers receive; the wait belongs to the reservation client.

--- a/modules/jy_router/caller/AttemptLoop.h
+++ b/modules/jy_router/caller/AttemptLoop.h
@@ -38,9 +38,9 @@
 /**
  * Tries backend servers in order until one finishes the request.
  *
- * A refused reservation and a failed connection lead to the next server without use of the retry
- * budget, because they put no load on a server. After an attempt that may have run, only
- * idempotent work is tried again, and only within the budget.
+ * A failed connection leads to the next server without use of the retry budget, because it puts no
+ * load on a server. After an attempt that may have run, only idempotent work is tried again, and
+ * only within the budget. A refusal of all remaining servers ends the request.
  */
 class AttemptLoop
 {
@@ -53,7 +53,7 @@
     { }
 
     /**
-     * Reserves, calls @p send and releases for each attempt.
+     * Obtains a place, calls @p send and releases for each attempt.
      *
      * @returns nothing when an attempt finished the request. Otherwise the error for the caller:
      *          its effect is NotRun only if no attempt can have run.
@@ -73,8 +73,9 @@
         Stop,
     };
 
-    Step attempt(const AttemptPlan &plan, const ReserveCall &call, const Send &send);
-    Step stopReason(const AttemptPlan &plan);
+    Step attempt(const AttemptPlan &plan, PlaceCall &call, const Send &send);
+    bool mustStop(const AttemptPlan &plan);
+    bool mayRetry();
     Step fail(const AttemptPlan &plan, const Error &error);
     Error finalError() const;
 
--- a/modules/jy_router/caller/CallerDependencies.h
+++ b/modules/jy_router/caller/CallerDependencies.h
@@ -48,23 +48,19 @@
     std::uint64_t revision = 0;
 };
 
-/** A request for a place at a backend server. */
-struct ReserveCall
+/** A request for a place at one of several backend servers. */
+struct PlaceCall
 {
     CallContext context;
-    BackendServer server;
+
+    /** Servers that have not been tried yet, best first. */
+    std::vector<BackendServer> servers;
 
     /** Outcomes are counted per route: "chat", "chat-stream" or the service's name. */
     std::string route;
 
-    /** The server is not the first-ranked one. */
-    bool displaced = false;
-
-    /** An earlier attempt of this request may have run. */
-    bool retry = false;
-
-    /** All candidates have refused, so waiting in this server's queue is better than failing. */
-    bool lastResort = false;
+    /** Attempts before this one, failed connections included. */
+    int failedAttempts = 0;
 };
 
 /** A place at a backend server. */
@@ -72,7 +68,7 @@
 {
     ReservationKey key;
 
-    /** Differs from the requested server when an exception of the chat names another one. */
+    /** One of the requested servers, or the one that an exception of the chat names. */
     BackendServer server;
 
     std::string route;
@@ -151,8 +147,11 @@
     std::function<Result<std::vector<BackendServer>>(const CallContext &, const ServiceId &)>
         rankServices;
 
-    /** Asks the server's owner for a place, waiting in its queue at most until the deadline. */
-    std::function<Result<Reservation>(const ReserveCall &)> reserve;
+    /**
+     * Finds a place at the first of the servers that admits the request, waiting in the queue of
+     * the first one, at most until the deadline, when all refuse. @see ReservationClient::place()
+     */
+    std::function<Result<Reservation>(const PlaceCall &)> place;
 
     /** Returns a place; called exactly once for each reservation. Must not suspend. */
     std::function<void(const Reservation &, const CallOutcome &)> release;
--- a/programs/jyrouter/RouterProcess.cpp
+++ b/programs/jyrouter/RouterProcess.cpp
@@ -111,7 +111,7 @@
     hooks.rankServices = [](const CallContext &, const ServiceId &) {
         return Result<std::vector<BackendServer>>(notReady());
     };
-    hooks.reserve = [](const ReserveCall &) { return Result<Reservation>(notReady()); };
+    hooks.place = [](const PlaceCall &) { return Result<Reservation>(notReady()); };
     hooks.release = [](const Reservation &, const CallOutcome &) {};
     hooks.recordFirstAttempt = [] {};
     hooks.tryRetry = [] { return false; };
