--- a/modules/jy_router/caller/CallerDependencies.h
+++ b/modules/jy_router/caller/CallerDependencies.h
@@ -98,7 +98,7 @@
     /** Value of the Idempotency-Key header, not validated. */
     std::string key;
 
-    /** Stable hash of method, path, query and body. */
+    /** @see protectedCallDigest() */
     std::uint64_t digest = 0;
 
     TimePoint deadline;
--- a/modules/jy_router/caller/ServiceRelay.cpp
+++ b/modules/jy_router/caller/ServiceRelay.cpp
@@ -1,7 +1,7 @@
 #include "jy_router/caller/ServiceRelay.h"
 
-#include "jy_base/hashing/StableHash.h"
 #include "jy_router/caller/RequestContext.h"
+#include "jy_router/protected/ProtectedCallDriver.h"
 
 #include <algorithm>
 #include <array>
@@ -150,12 +150,11 @@
 {
     if (forwarded.headers.count("Idempotency-Key") != 1)
         return failure(ErrorKind::KeyInvalid, "the call needs one Idempotency-Key header");
-    const ProtectedCallInput input{
-        .service = target.service,
-        .key = std::string(forwarded.headers.value("Idempotency-Key")),
-        .digest =
-            stableHash(forwarded.body, stableHash(forwarded.target, stableHash(forwarded.method))),
-        .deadline = context_.deadline};
+    const ProtectedCallInput input{.service = target.service,
+                                   .key = std::string(forwarded.headers.value("Idempotency-Key")),
+                                   .digest = protectedCallDigest(target.service, forwarded.method,
+                                                                 forwarded.target, forwarded.body),
+                                   .deadline = context_.deadline};
     return dependencies_.protectedCall(input,
                                        [&] { return call(forwarded, target.service, true); });
 }
