Connect protected calls of the caller interface to their driver

The driver withdraws a claim when a send reports that nothing was sent, so the translation of errors decides whether a call can run twice.

--- a/tests/jy_router/ServiceRelayTest.cpp
+++ b/tests/jy_router/ServiceRelayTest.cpp
@@ -1,8 +1,11 @@
 #include "jy_router/CallerFixture.h"
 
+#include "jy_router/caller/ProtectedCallBridge.h"
 #include "jy_router/caller/RequestContext.h"
 #include "jy_router/caller/ServiceRelay.h"
 
+#include "jy_base/errors/ErrorTable.h"
+
 #include <rapidcheck/gtest.h>
 
 using namespace std::chrono_literals;
@@ -99,12 +102,20 @@
         CallCase{"UnknownService", "GET", "/v1/services/other/x", "", false, 404, 0}),
     [](const auto &info) { return info.param.name; });
 
-// The result of one scripted try at a server.
-struct Try
+class SendError : public testing::TestWithParam<jy::ErrorAnswer>
+{ };
+
+// Guards against a claim that is withdrawn although the call may have run.
+TEST_P(SendError, WithdrawsTheClaimOnlyIfNothingWasSent)
 {
-    bool refused = false;
-    std::optional<K> error;
-};
+    using Progress = jy::ProtectedSendResult::Progress;
+    const auto result = jy::toSendResult(jy::Error{GetParam().kind, "scripted"});
+    EXPECT_EQ(result.progress,
+              GetParam().effect == jy::Effect::NotRun ? Progress::NotSent : Progress::Unknown);
+}
+
+INSTANTIATE_TEST_SUITE_P(AllKinds, SendError, testing::ValuesIn(jy::errorTable()),
+                         [](const auto &info) { return std::string(info.param.name); });
 
 // Guards against leaked reservations, a false "not run", repeats of work that may have run, and
 // retries above the budget, for any combination of refusals and failures.
