--- a/modules/jy_router/assembly/CallerWiring.cpp
+++ b/modules/jy_router/assembly/CallerWiring.cpp
@@ -2,6 +2,7 @@
 
 #include "jy_base/errors/ErrorTable.h"
 #include "jy_base/hashing/StableHash.h"
+#include "jy_router/caller/ProtectedCallBridge.h"
 #include "jy_runtime/logging/Log.h"
 
 #include <boost/uuid/random_generator.hpp>
@@ -14,6 +15,9 @@
 constexpr std::size_t lookupAddresses = 3;
 constexpr std::size_t rankedServers = 3;
 
+// Prefilling a long prompt again costs more than this wait for the server that has it cached.
+constexpr std::chrono::milliseconds homeWait{200};
+
 TimePoint now()
 {
     return std::chrono::steady_clock::now();
@@ -32,18 +36,20 @@
         : context_(context)
     { }
 
-    Result<Reservation> reserve(const ReserveCall &call)
+    Result<Reservation> place(const PlaceCall &call)
     {
         PlaceRequest request;
-        request.candidates = {homeOf(call)};
+        for (const auto &server : call.servers)
+            request.candidates.push_back(server.id);
         request.workspace = call.context.workspace;
         request.chatHash = call.context.chatHash;
         request.priority = call.context.priority;
         request.deadline = call.context.deadline;
+        if (!call.context.chat.empty())
+            request.homeWait = homeWait;
         request.requestId = call.context.requestId.value();
         request.route = call.route;
-        auto placed = context_.reservations->placeAt(request, call.server.id, call.displaced,
-                                                     call.lastResort);
+        auto placed = context_.reservations->place(request);
         if (!placed)
             return failure(placed.error().kind, placed.error().message, placed.error().retryAfter);
         const auto *server = context_.directory.find(placed.value().server);
@@ -81,20 +87,7 @@
     }
 
 private:
-    /** The first-ranked server, whose owner records where a displaced chat went. */
-    ServerId homeOf(const ReserveCall &call) const
-    {
-        if (!call.displaced || call.server.kind != ServerKind::Engine)
-            return call.server.id;
-        const auto ranked = context_.directory.candidates({.workspace = call.context.workspace,
-                                                           .model = call.server.model,
-                                                           .chatHash = call.context.chatHash,
-                                                           .maxCount = 1},
-                                                          now(), wallNow());
-        return ranked ? ranked.value().front() : call.server.id;
-    }
-
-    void recordDisplacement(const ReserveCall &call, const Placed &placed)
+    void recordDisplacement(const PlaceCall &call, const Placed &placed)
     {
         if (call.context.chat.empty())
             return;
@@ -198,47 +191,6 @@
     return std::nullopt;
 }
 
-AttemptOutcome toOutcome(const HttpResponse &response)
-{
-    return {.status = response.status,
-            .contentType = std::string(response.headers.value("content-type")),
-            .body = response.body};
-}
-
-HttpResponse toResponse(const ProtectedCallResponse &recorded)
-{
-    HttpResponse response;
-    response.status = recorded.response.status;
-    response.body = recorded.response.body;
-    if (!recorded.response.contentType.empty())
-        response.headers.set("Content-Type", recorded.response.contentType);
-    if (recorded.repeated)
-        response.headers.set("Idempotent-Replayed", "true");
-    if (recorded.response.bodyOmitted)
-        response.headers.set("X-Body-Omitted", "true");
-    return response;
-}
-
-ProtectedSendResult sendOnce(const std::function<Result<HttpResponse>()> &send)
-{
-    using Progress = ProtectedSendResult::Progress;
-    auto response = send();
-    if (response)
-        return {.progress = Progress::Answered, .response = toOutcome(response.value())};
-    const bool notRun = answerFor(response.error().kind).effect == Effect::NotRun;
-    return {.progress = notRun ? Progress::NotSent : Progress::Unknown, .error = response.error()};
-}
-
-Result<HttpResponse> protectedCall(RouterContext &context, const ProtectedCallInput &input,
-                                   const std::function<Result<HttpResponse>()> &send)
-{
-    const ProtectedCallRequest request{input.key, input.digest, input.service, input.deadline};
-    auto result = context.protectedCalls->call(request, [&] { return sendOnce(send); });
-    if (!result)
-        return failure(result.error().kind, result.error().message, result.error().retryAfter);
-    return toResponse(result.value());
-}
-
 void finished(RouterContext &context, const CallRecord &record)
 {
     const std::string outcome =
@@ -303,7 +255,7 @@
         return serversOf(context, context.directory.serviceCandidates(service, key, rankedServers,
                                                                       now(), wallNow()));
     };
-    hooks.reserve = [places](const ReserveCall &call) { return places->reserve(call); };
+    hooks.place = [places](const PlaceCall &call) { return places->place(call); };
     hooks.release = [places](const Reservation &reservation, const CallOutcome &outcome) {
         places->release(reservation, outcome);
     };
@@ -311,7 +263,7 @@
     hooks.tryRetry = [&context] { return context.retryBudget.tryRetry(now()); };
     hooks.protectedCall = [&context](const ProtectedCallInput &input,
                                      const std::function<Result<HttpResponse>()> &send) {
-        return protectedCall(context, input, send);
+        return callOnce(*context.protectedCalls, input, send);
     };
     hooks.metricsText = [&context] { return context.metrics.prometheusText(); };
     hooks.newRequestId = [generator = std::make_shared<boost::uuids::random_generator>()] {
--- a/modules/jy_router/assembly/Router.cpp
+++ b/modules/jy_router/assembly/Router.cpp
@@ -3,6 +3,7 @@
 #include "jy_router/assembly/CallerWiring.h"
 #include "jy_router/assembly/OperatorWiring.h"
 #include "jy_router/assembly/PeerWiring.h"
+#include "jy_router/shutdown/GracefulShutdown.h"
 #include "jy_runtime/fibers/FiberToken.h"
 #include "jy_runtime/logging/Log.h"
 
@@ -15,8 +16,11 @@
 // Time in which a caller that used its lookup at the last moment still connects.
 constexpr std::chrono::milliseconds lookupGrace{500};
 
-constexpr std::chrono::milliseconds handOffGrace{1000};
-constexpr std::chrono::milliseconds recordPoll{50};
+constexpr std::chrono::milliseconds peerGrace{1000};
+constexpr std::chrono::milliseconds pollInterval{50};
+
+// Outcomes of protected calls that are not recorded by then stay unknown to repetitions.
+constexpr std::chrono::seconds recordTimeout{10};
 
 } // namespace
 
@@ -149,27 +153,55 @@
 
 std::size_t Router::shutDown()
 {
-    const auto state = context_.desiredState();
-    const auto lifetime = state ? state->global.lookupLifetime : GlobalSpec{}.lookupLifetime;
-    context_.leaving = true;
-    context_.orders->stop();
-    context_.membership->leave();
+    ShutdownDependencies hooks;
+    hooks.now = std::chrono::steady_clock::now;
+    hooks.sleepFor = [](std::chrono::milliseconds time) { EventLoop::sleepFor(time); };
+    hooks.withdraw = [this] {
+        context_.leaving = true;
+        context_.orders->stop();
+        context_.membership->leave();
+    };
+    hooks.handOff = [this](std::chrono::milliseconds timeout) { return handOff(timeout); };
+    hooks.announceClose = [this] { callerServer_->announceClose(); };
+    hooks.lookupLifetime = [this] {
+        const auto state = context_.desiredState();
+        return (state ? state->global : GlobalSpec{}).lookupLifetime + lookupGrace;
+    };
+    hooks.drain = [this](std::chrono::milliseconds timeout) {
+        return callerServer_->drain(timeout);
+    };
+    hooks.stop = [this] { stop(); };
+    hooks.phaseStarted = [this](ShutdownPhase phase) {
+        context_.record("shutdown-phase", {{"phase", std::string(toString(phase))}});
+    };
+    GracefulShutdown sequence(std::move(hooks),
+                              {.deadline = context_.settings.timings.shutdownDeadline});
+    const auto report = sequence.run();
+    return report.interrupted;
+}
+
+bool Router::handOff(std::chrono::milliseconds timeout)
+{
     updateOwnership();
-    // Callers that hold this address may use it until their lookup expires.
-    EventLoop::sleepFor(lifetime + lookupGrace);
-    callerServer_->announceClose();
-    EventLoop::sleepFor(handOffGrace);
-    const auto interrupted = callerServer_->drain(context_.settings.timings.shutdownDeadline);
-    if (interrupted > 0)
-        context_.record("requests-interrupted", {{"count", std::to_string(interrupted)}});
-    while (context_.protectedCalls->pendingRecords() > 0 && interrupted == 0)
-        EventLoop::sleepFor(recordPoll);
+    const auto end = std::chrono::steady_clock::now() + timeout;
+    while (!context_.owner->ledger().owned().empty()) {
+        if (std::chrono::steady_clock::now() >= end)
+            return false;
+        EventLoop::sleepFor(pollInterval);
+    }
+    return true;
+}
+
+void Router::stop()
+{
+    const auto end = std::chrono::steady_clock::now() + recordTimeout;
+    while (context_.protectedCalls->pendingRecords() > 0 && std::chrono::steady_clock::now() < end)
+        EventLoop::sleepFor(pollInterval);
     callerServer_->stop();
     operatorApi_->stop();
     supervisor_->stop();
     context_.membership->finishLeave();
-    peerServer_->shutdown(handOffGrace);
-    return interrupted;
+    peerServer_->shutdown(peerGrace);
 }
 
 } // namespace jy
--- a/modules/jy_router/assembly/Router.h
+++ b/modules/jy_router/assembly/Router.h
@@ -56,6 +56,8 @@
 
     std::string waitForSignal();
     std::size_t shutDown();
+    bool handOff(std::chrono::milliseconds timeout);
+    void stop();
 
     RouterContext context_;
     std::string settingsFile_;
--- a/tests/jy_router/ServiceRelayTest.cpp
+++ b/tests/jy_router/ServiceRelayTest.cpp
@@ -1,8 +1,11 @@
 #include "jy_router/CallerFixture.h"
 
+#include "jy_router/caller/ProtectedCallBridge.h"
 #include "jy_router/caller/RequestContext.h"
 #include "jy_router/caller/ServiceRelay.h"
 
+#include "jy_base/errors/ErrorTable.h"
+
 #include <rapidcheck/gtest.h>
 
 using namespace std::chrono_literals;
@@ -99,12 +102,20 @@
         CallCase{"UnknownService", "GET", "/v1/services/other/x", "", false, 404, 0}),
     [](const auto &info) { return info.param.name; });
 
-// The result of one scripted try at a server.
-struct Try
+class SendError : public testing::TestWithParam<jy::ErrorAnswer>
+{ };
+
+// Guards against a claim that is withdrawn although the call may have run.
+TEST_P(SendError, WithdrawsTheClaimOnlyIfNothingWasSent)
 {
-    bool refused = false;
-    std::optional<K> error;
-};
+    using Progress = jy::ProtectedSendResult::Progress;
+    const auto result = jy::toSendResult(jy::Error{GetParam().kind, "scripted"});
+    EXPECT_EQ(result.progress,
+              GetParam().effect == jy::Effect::NotRun ? Progress::NotSent : Progress::Unknown);
+}
+
+INSTANTIATE_TEST_SUITE_P(AllKinds, SendError, testing::ValuesIn(jy::errorTable()),
+                         [](const auto &info) { return std::string(info.param.name); });
 
 // Guards against leaked reservations, a false "not run", repeats of work that may have run, and
 // retries above the budget, for any combination of refusals and failures.
@@ -112,6 +123,7 @@
 {
     constexpr std::array kinds{K::ConnectFailed, K::BackendBroken, K::BackendFailed,
                                K::DeadlineExceeded, K::Internal};
+    std::set<jy::ServerId> tried;
     int held = 0;
     int sent = 0;
     int attempted = 0;
@@ -121,18 +133,21 @@
     std::size_t position = 0;
     const auto nextByte = [&] { return position < script.size() ? script[position++] : 0; };
     jy::CallerDependencies hooks;
-    hooks.reserve = [&](const jy::ReserveCall &call) -> jy::Result<jy::Reservation> {
+    hooks.place = [&](const jy::PlaceCall &call) -> jy::Result<jy::Reservation> {
         if (nextByte() % 3 == 1)
             return jy::failure(K::Overloaded, "scripted");
         ++held;
-        return jy::Reservation{.server = call.server};
+        RC_ASSERT(tried.insert(call.servers.front().id).second);
+        return jy::Reservation{.server = call.servers.front()};
     };
     hooks.release = [&](const auto &, const auto &) { --held; };
     hooks.recordFirstAttempt = [&] { ++firsts; };
     hooks.tryRetry = [&] { return budget-- > 0; };
     const jy::CallerSettings settings;
     jy::AttemptLoop loop(hooks, settings);
-    jy::AttemptPlan plan{.servers = std::vector<jy::BackendServer>(5), .idempotent = idempotent};
+    jy::AttemptPlan plan{.idempotent = idempotent};
+    for (const char *id : {"a", "b", "c", "d", "e"})
+        plan.servers.push_back({.id = jy::ServerId(id)});
     plan.context.deadline = std::chrono::steady_clock::now() + 1h;
     bool succeeded = false;
     const auto error = loop.run(plan, [&](const jy::BackendServer &) {
