Test that the fault proxy loses responses only

A proxy that also lost the request would let a client pass that treats a lost response as not applied.

--- a/bench/common/Fleet.h
+++ b/bench/common/Fleet.h
@@ -67,6 +67,7 @@
     std::optional<Millis> waitInForce(std::uint64_t revision, Millis timeout);
 
     // Stand-ins
+    Endpoint proxiedKv() const { return {"127.0.0.1", port(proxiedKvPort)}; }
     Json control(std::uint16_t port, const std::string &path, const Json &change = {});
     Json kv(const Json &change = {}) { return control(port(kvPort), "/control", change); }
     Json instances(const Json &change = {})
--- a/tests/integration/StandinTest.cpp
+++ b/tests/integration/StandinTest.cpp
@@ -79,4 +79,26 @@
     });
 }
 
+// Guards against a proxy that loses the request along with its response: the write must take
+// effect.
+TEST(Standins, FaultProxyLosesTheResponseAndNotTheRequest)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        Fleet fleet(loop, jy::bench::loadFleetSpec("cedar-drift"), 1, logFolder());
+        fleet.startPlatform();
+        const jy::HttpRequest write{.method = "PUT", .target = "/v1/kv/a", .body = "1"};
+        fleet.fault("kv", {{"lose_answers", 1}});
+        EXPECT_FALSE(fleet.http().request(fleet.proxiedKv(), write, 2s));
+        const auto read = fleet.http().request(fleet.proxiedKv(), {.target = "/v1/kv/a"}, 2s);
+        ASSERT_TRUE(read);
+        EXPECT_EQ(read.value().status, 200);
+        EXPECT_EQ(number(fleet.kv(), "applied_writes"), 1);
+
+        fleet.fault("kv", {{"cut_backward", true}});
+        EXPECT_FALSE(fleet.http().request(fleet.proxiedKv(), write, 300ms));
+        EXPECT_EQ(number(fleet.kv(), "applied_writes"), 2);
+    });
+}
+
 } // namespace
