Write the time of log lines without quotes

The pattern now has none, and a test reads a whole line from the standard error stream. The log line of an apply is named config-apply, because it is written for refused files as well.

--- a/modules/jy_router/operations/OperatorApi.cpp
+++ b/modules/jy_router/operations/OperatorApi.cpp
@@ -220,7 +220,7 @@
                         "the header X-Request-Id is missing; it makes a repeated PUT harmless");
     }
     const auto result = dependencies_.apply(apply);
-    logEvent(LogLevel::Info, apply.checkOnly ? "config-checked" : "config-applied",
+    logEvent(LogLevel::Info, apply.checkOnly ? "config-check" : "config-apply",
              {{"request", apply.requestId},
               {"author", holder},
               {"ok", result.has_value()},
--- a/modules/jy_runtime/logging/Log.cpp
+++ b/modules/jy_runtime/logging/Log.cpp
@@ -111,7 +111,7 @@
     for (auto at = prefix.find('%'); at != std::string::npos; at = prefix.find('%', at + 2))
         prefix.insert(at, "%");
     const auto layout = std::make_shared<log4cxx::PatternLayout>(
-        "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z'}{GMT} level=%p process=" + prefix + " %m%n");
+        "time=%d{yyyy-MM-ddTHH:mm:ss.SSS}{GMT}Z level=%p process=" + prefix + " %m%n");
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
         layout, log4cxx::ConsoleAppender::getSystemErr());
     logger()->removeAllAppenders();
--- a/tests/jy_runtime/LogTest.cpp
+++ b/tests/jy_runtime/LogTest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <regex>
+
 using namespace std::chrono_literals;
 
 namespace {
@@ -48,4 +50,20 @@
               "event=done request=r-1 count=3 share=0.25 ok=true total_ms=1500 text=x");
 }
 
+// Guards against a line whose time, level or process cannot be read by a log collector.
+TEST(Log, LinesStartWithTimeLevelAndProcess)
+{
+    testing::internal::CaptureStderr();
+    jy::setUpLogging("r 1%d", jy::LogLevel::Info);
+    jy::logEvent(jy::LogLevel::Debug, "hidden", {});
+    jy::logEvent(jy::LogLevel::Warn, "shown", {{"k", "v"}});
+    const auto output = testing::internal::GetCapturedStderr();
+    EXPECT_TRUE(
+        std::regex_match(output,
+                         std::regex(R"(time=\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z level=WARN )"
+                                    R"(process="r 1%d" event=shown k=v\n)")))
+        << output;
+    jy::setUpLogging("test", jy::LogLevel::Error);
+}
+
 } // namespace
