--- a/modules/jy_runtime/events/EventBuffer.cpp
+++ b/modules/jy_runtime/events/EventBuffer.cpp
@@ -50,6 +50,7 @@
         cut(field.value);
     }
     event.sequence = ++lastSequence_;
+    ++recordedByKind_[event.kind];
     if (events_.size() == capacity_)
         events_.pop_front();
     events_.push_back(std::move(event));
--- a/modules/jy_runtime/events/EventBuffer.h
+++ b/modules/jy_runtime/events/EventBuffer.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <deque>
 #include <functional>
+#include <map>
 #include <string>
 
 namespace jy {
@@ -82,6 +83,9 @@
     /** Merges the timestamp of a received message, so that later events here sort after it. */
     void observe(HybridTime remote);
 
+    /** Events recorded since the start, including those no longer held, by kind. */
+    const std::map<std::string, std::uint64_t> &recordedByKind() const { return recordedByKind_; }
+
     const std::string &process() const { return process_; }
     std::size_t size() const { return events_.size(); }
 
@@ -92,6 +96,7 @@
     HybridClock clock_;
     std::deque<Event> events_;
     std::uint64_t lastSequence_ = 0;
+    std::map<std::string, std::uint64_t> recordedByKind_;
 };
 
 } // namespace jy
--- a/modules/jy_runtime/metrics/Metrics.cpp
+++ b/modules/jy_runtime/metrics/Metrics.cpp
@@ -121,6 +121,11 @@
     return find<LatencyHistogram>(name, help, labels);
 }
 
+void Metrics::removeSeries(const std::string &name)
+{
+    families_.erase(name);
+}
+
 void Metrics::addCollector(std::function<void()> collector)
 {
     collectors_.push_back(std::move(collector));
--- a/modules/jy_runtime/metrics/Metrics.h
+++ b/modules/jy_runtime/metrics/Metrics.h
@@ -64,6 +64,9 @@
     LatencyHistogram &histogram(const std::string &name, const std::string &help,
                                 const MetricLabels &labels = {});
 
+    /** Removes all series of a metric; references to them become invalid. */
+    void removeSeries(const std::string &name);
+
     /** Calls @p collector before each prometheusText(), to set gauges that are read on demand. */
     void addCollector(std::function<void()> collector);
 
