Keep the synchronisation timer running when two routers lack a record

Cause: an equal digest of any router reset the timer, so several routers that lacked the same record kept each other from synchronising. Change: only a gap of 5 s without a difference ends the period.

--- a/modules/jy_core/membership/Membership.cpp
+++ b/modules/jy_core/membership/Membership.cpp
@@ -81,7 +81,6 @@
     probe_.reset();
     relays_.clear();
     sync_.reset();
-    mismatchSince_.reset();
     for (auto &[id, deadline] : suspicionDeadlines_)
         deadline = now + settings_.suspicionTimeout;
     announcePending_ = true;
--- a/modules/jy_core/membership/Membership.h
+++ b/modules/jy_core/membership/Membership.h
@@ -256,7 +256,8 @@
     InstanceId outdatedSender_;
 
     std::optional<Sync> sync_;
-    std::optional<TimePoint> mismatchSince_;
+    TimePoint mismatchSince_;
+    TimePoint lastMismatch_;
     TimePoint nextPage_;
     TimePoint nextSync_;
 };
--- a/modules/jy_core/membership/MembershipExchange.cpp
+++ b/modules/jy_core/membership/MembershipExchange.cpp
@@ -19,6 +19,9 @@
 /** Digests differ for this long after an ordinary change, until gossip has spread it. */
 constexpr auto mismatchTolerance = 3s;
 
+/** Differences further apart than this have different causes. */
+constexpr auto mismatchGap = 5s;
+
 /** At 1.2 KB a page, a synchronisation costs at most 12 KB/s. */
 constexpr auto pageInterval = 100ms;
 
@@ -287,15 +290,15 @@
 
 void Membership::compareDigest(const Datagram &datagram, const Endpoint &from, TimePoint now)
 {
-    if (datagram.piggyback.tableDigest == table_.digest()) {
-        mismatchSince_.reset();
+    if (datagram.piggyback.tableDigest == table_.digest())
         return;
-    }
-    if (!mismatchSince_)
+    // An equal digest of another router does not end the period: both may lack the same record.
+    if (now - lastMismatch_ > mismatchGap)
         mismatchSince_ = now;
+    lastMismatch_ = now;
     // A router that joins knows at most its first peer and must not wait.
     const bool joining = table_.records().size() <= 2;
-    if (sync_ || now < nextSync_ || (!joining && now - *mismatchSince_ < mismatchTolerance))
+    if (sync_ || now < nextSync_ || (!joining && now - mismatchSince_ < mismatchTolerance))
         return;
     const auto *record = table_.find(datagram.piggyback.sender.id);
     if (record == nullptr || !isReachable(record->info.state))
