--- a/modules/jy_platform/kv/KvClient.cpp
+++ b/modules/jy_platform/kv/KvClient.cpp
@@ -83,7 +83,7 @@
 
 KvClient::~KvClient() = default;
 
-Result<HttpResponse> KvClient::perform(ConsulCall call, std::uint64_t &counter)
+Result<HttpResponse> KvClient::perform(const ConsulCall &call, std::uint64_t &counter)
 {
     const auto wait = limit_.take(Clock::now(), settings_.requestTimeout);
     if (wait < Duration::zero()) {
@@ -105,9 +105,9 @@
 
 Result<std::vector<KvEntry>> KvClient::readEntries(const std::string &target)
 {
-    ConsulCall call{.request = {.method = "GET", .target = target},
-                    .timeout = settings_.requestTimeout};
-    BOOST_OUTCOME_TRY(const auto response, perform(std::move(call), counters_.reads));
+    const ConsulCall call{.request = {.method = "GET", .target = target},
+                          .timeout = settings_.requestTimeout};
+    BOOST_OUTCOME_TRY(const auto response, perform(call, counters_.reads));
     return toEntries(response);
 }
 
@@ -133,7 +133,7 @@
                     .cancellation = std::move(cancellation)};
     if (afterIndex > 0)
         call.request.target += '?' + blockingQuery(afterIndex, maxWait);
-    BOOST_OUTCOME_TRY(const auto response, perform(std::move(call), counters_.watches));
+    BOOST_OUTCOME_TRY(const auto response, perform(call, counters_.watches));
     BOOST_OUTCOME_TRY(auto entries, toEntries(response));
     KvChange change{.index = consulIndex(response)};
     // After a restore from a snapshot the index may go back; a watch above it would never return.
@@ -153,7 +153,7 @@
                     .timeout = settings_.requestTimeout,
                     .write = true};
     call.request.body = body;
-    const auto response = perform(std::move(call), counter);
+    const auto response = perform(call, counter);
     if (!response)
         return boost::outcome_v2::failure(response.error());
     const auto &answer = response.value().body;
@@ -193,7 +193,7 @@
                                                      {"TTL", milliseconds(ttl)},
                                                      {"Behavior", "release"},
                                                      {"LockDelay", "0s"}});
-    BOOST_OUTCOME_TRY(const auto response, perform(std::move(call), counters_.leaseCalls));
+    BOOST_OUTCOME_TRY(const auto response, perform(call, counters_.leaseCalls));
     const auto parsed = parseJson(response.body);
     auto id = parsed && parsed.value().is_object() ? jsonText(parsed.value().as_object(), "ID")
                                                    : std::string();
@@ -232,10 +232,11 @@
 Result<void> KvClient::renew(Lease &lease)
 {
     const auto sent = Clock::now();
-    ConsulCall call{.request = {.method = "PUT", .target = "/v1/session/renew/" + lease.session},
-                    .timeout = settings_.requestTimeout,
-                    .write = true};
-    BOOST_OUTCOME_TRY(const auto response, perform(std::move(call), counters_.leaseCalls));
+    const ConsulCall call{
+        .request = {.method = "PUT", .target = "/v1/session/renew/" + lease.session},
+        .timeout = settings_.requestTimeout,
+        .write = true};
+    BOOST_OUTCOME_TRY(const auto response, perform(call, counters_.leaseCalls));
     if (response.status == statusNotFound) {
         lease.validUntil = {};
         return failure(ErrorKind::LeaseLost, "the lease of " + lease.key + " has ended");
--- a/modules/jy_platform/kv/KvClient.h
+++ b/modules/jy_platform/kv/KvClient.h
@@ -172,7 +172,7 @@
 private:
     KvClient(std::shared_ptr<HttpClient> http, const KvSettings &settings, KvLimits limits);
 
-    Result<HttpResponse> perform(ConsulCall call, std::uint64_t &counter);
+    Result<HttpResponse> perform(const ConsulCall &call, std::uint64_t &counter);
     Result<std::vector<KvEntry>> readEntries(const std::string &target);
     Result<void> write(const std::string &method, const std::string &target,
                        const std::string &body, std::uint64_t &counter);
