Let membership settle before a router takes ownership; count control bytes

Ownership and readiness now wait 1 s after the start, and an owner whose list lacks the server answers no_capacity with a time to retry. Live routers carry their incarnation, status metrics are collected, and jy_control_bytes_total counts gossip and calls to peers.

--- a/modules/jy_core/orders/OrderPlanner.cpp
+++ b/modules/jy_core/orders/OrderPlanner.cpp
@@ -17,7 +17,7 @@
 } // namespace
 
 std::vector<PlannedOrder> planOrders(const DesiredState &state, const MoveBoard &board,
-                                    const std::vector<BackendServer> &servers)
+                                     const std::vector<BackendServer> &servers)
 {
     std::vector<PlannedOrder> orders;
     for (const auto &server : servers) {
--- a/modules/jy_core/orders/OrderPlanner.h
+++ b/modules/jy_core/orders/OrderPlanner.h
@@ -27,6 +27,6 @@
  * beside the old ones, and an engine that serves is never reloaded under its chats.
  */
 std::vector<PlannedOrder> planOrders(const DesiredState &state, const MoveBoard &board,
-                                    const std::vector<BackendServer> &servers);
+                                     const std::vector<BackendServer> &servers);
 
 } // namespace jy
--- a/modules/jy_peer/rpc/PeerClient.cpp
+++ b/modules/jy_peer/rpc/PeerClient.cpp
@@ -57,6 +57,9 @@
             rejected ? rejectedRetryAfter : std::chrono::milliseconds{0}};
 }
 
+// HTTP/2 frames, headers and authentication of one call on an open channel, both directions.
+constexpr std::uint64_t callOverheadBytes = 400;
+
 } // namespace
 
 struct PeerClient::State
@@ -139,6 +142,7 @@
     finished.wait();
     --used.inUse;
     used.lastUsed = std::chrono::steady_clock::now();
+    counters.bytes += request.ByteSizeLong() + reply.ByteSizeLong() + callOverheadBytes;
     if (status.ok())
         return reply;
     ++counters.failures;
--- a/modules/jy_peer/rpc/PeerClient.h
+++ b/modules/jy_peer/rpc/PeerClient.h
@@ -26,6 +26,10 @@
 {
     std::uint64_t calls = 0;
     std::uint64_t failures = 0;
+
+    /** Requests and replies, with an estimate for headers and framing. */
+    std::uint64_t bytes = 0;
+
     std::size_t openChannels = 0;
 };
 
--- a/modules/jy_router/assembly/CallerWiring.cpp
+++ b/modules/jy_router/assembly/CallerWiring.cpp
@@ -110,10 +110,9 @@
                                                      reservation.context.chatHash);
         if (selected.move.empty())
             return;
-        context_.moves->recordOutcome(
-            {selected.move, reservation.server.version, reservation.route, !outcome.error,
-             outcome.cacheHit.value_or(false),
-             outcome.firstToken.value_or(std::chrono::milliseconds{0})});
+        context_.moves->recordOutcome({selected.move, reservation.server.version, reservation.route,
+                                       !outcome.error, outcome.cacheHit.value_or(false),
+                                       outcome.firstToken.value_or(std::chrono::milliseconds{0})});
     }
 
     RouterContext &context_;
@@ -144,9 +143,11 @@
     ServerId server(query.workspace.value());
     RegionId region = context.settings.instance.region;
     if (!query.model.empty()) {
-        const auto ranked = context.directory.candidates(
-            {.workspace = query.workspace, .model = query.model, .chatHash = chatHash, .maxCount = 1},
-            now(), wallNow());
+        const auto ranked = context.directory.candidates({.workspace = query.workspace,
+                                                          .model = query.model,
+                                                          .chatHash = chatHash,
+                                                          .maxCount = 1},
+                                                         now(), wallNow());
         if (ranked) {
             server = ranked.value().front();
             region = context.directory.find(server)->region;
@@ -182,7 +183,8 @@
 
 std::optional<Endpoint> routerElsewhere(const RouterContext &context, const CallContext &call)
 {
-    for (const auto &router : routersFor(context, {call.workspace, {}, call.chat}, lookupAddresses)) {
+    for (const auto &router :
+         routersFor(context, {call.workspace, {}, call.chat}, lookupAddresses)) {
         if (router == context.self())
             continue;
         if (const auto info = context.member(router))
@@ -222,8 +224,8 @@
 
 std::optional<Error> refusal(const RouterContext &context)
 {
-    if (!context.config->ready())
-        return Error{ErrorKind::NotReady, "this router does not hold the current configuration yet",
+    if (!context.settled || !context.config->ready())
+        return Error{ErrorKind::NotReady, "this router does not know the current fleet state yet",
                      std::chrono::milliseconds{500}};
     return std::nullopt;
 }
@@ -237,7 +239,7 @@
     hooks.client = context.http;
     hooks.engines = context.engines.get();
     hooks.desiredState = [&context] { return context.desiredState(); };
-    hooks.ready = [&context] { return context.config->ready() && !context.leaving; };
+    hooks.ready = [&context] { return context.ready(); };
     hooks.refusal = [&context] { return refusal(context); };
     hooks.ownDomainOut = [&context] { return context.domainOut(context.settings.instance.domain); };
     hooks.routerElsewhere = [&context](const auto &call) { return routerElsewhere(context, call); };
@@ -252,8 +254,9 @@
     };
     hooks.rankServices = [&context](const CallContext &call, const ServiceId &service) {
         const auto key = stableHash(call.requestId.value());
-        return serversOf(context, context.directory.serviceCandidates(service, key, rankedServers,
-                                                                      now(), wallNow()));
+        return serversOf(
+            context,
+            context.directory.serviceCandidates(service, key, rankedServers, now(), wallNow()));
     };
     hooks.place = [places](const PlaceCall &call) { return places->place(call); };
     hooks.release = [places](const Reservation &reservation, const CallOutcome &outcome) {
--- a/modules/jy_router/assembly/OperatorWiring.cpp
+++ b/modules/jy_router/assembly/OperatorWiring.cpp
@@ -160,7 +160,7 @@
     const auto config = context.config->status();
     FleetStatus status;
     status.instance = context.self();
-    status.ready = config.ready && !context.leaving;
+    status.ready = context.ready();
     status.shuttingDown = context.leaving;
     status.revision = config.revision;
     status.headRevision = config.headRevision;
@@ -364,6 +364,8 @@
 {
     if (context.leaving)
         return {false, "shutting down"};
+    if (!context.settled)
+        return {false, "membership has not settled yet"};
     if (!context.config->ready())
         return {false, "the current configuration is not known yet"};
     return {true, {}};
--- a/modules/jy_router/assembly/PeerWiring.cpp
+++ b/modules/jy_router/assembly/PeerWiring.cpp
@@ -30,10 +30,10 @@
 
 OutcomeCount fromProto(const peer::OutcomeCount &message)
 {
-    return {MoveId(message.move()),     VersionId(message.version()),  message.route(),
-            message.slot(),             message.requests(),            message.errors(),
-            message.slow(),             message.cache_hits(),          message.hit_first_token_ms(),
-            message.cache_misses(),     message.miss_first_token_ms()};
+    return {MoveId(message.move()), VersionId(message.version()), message.route(),
+            message.slot(),         message.requests(),           message.errors(),
+            message.slow(),         message.cache_hits(),         message.hit_first_token_ms(),
+            message.cache_misses(), message.miss_first_token_ms()};
 }
 
 peer::StopMarks toProto(const MoveBoard &board)
@@ -85,7 +85,8 @@
     for (const auto &count : report.counts())
         counts.push_back(fromProto(count));
     peer::OutcomeReply reply;
-    for (const auto &[move, limits] : context.moves->receiveCounts(InstanceId(report.from()), counts)) {
+    for (const auto &[move, limits] :
+         context.moves->receiveCounts(InstanceId(report.from()), counts)) {
         auto &entry = *reply.add_thresholds();
         entry.set_move(move.value());
         entry.set_cache_hit_ms(static_cast<std::uint32_t>(limits.cacheHit.count()));
@@ -137,7 +138,8 @@
         ++capacity.newEngines;
         capacity.newLimit += model.maxConcurrency;
     }
-    const auto totals = context.poolTotals.find(poolName(model.id, context.settings.instance.region));
+    const auto totals =
+        context.poolTotals.find(poolName(model.id, context.settings.instance.region));
     if (totals != context.poolTotals.end())
         capacity.inFlight = static_cast<int>(totals->second.inFlight);
     return capacity;
@@ -241,7 +243,8 @@
         const auto digest = context.moves->board().digest();
         context.membership->setStopMarks({digest.count, digest.hash});
     };
-    hooks.event = [&context](const std::string &kind, const MoveId &move, const std::string &detail) {
+    hooks.event = [&context](const std::string &kind, const MoveId &move,
+                             const std::string &detail) {
         context.record(kind, {{"move", move.value()}, {"reason", detail}});
     };
     return std::make_unique<MoveDriver>(std::move(hooks), VersionMoveSettings{});
--- a/modules/jy_router/assembly/Router.cpp
+++ b/modules/jy_router/assembly/Router.cpp
@@ -3,6 +3,7 @@
 #include "jy_router/assembly/CallerWiring.h"
 #include "jy_router/assembly/OperatorWiring.h"
 #include "jy_router/assembly/PeerWiring.h"
+#include "jy_router/operations/StatusMetrics.h"
 #include "jy_router/shutdown/GracefulShutdown.h"
 #include "jy_runtime/fibers/FiberToken.h"
 #include "jy_runtime/logging/Log.h"
@@ -16,6 +17,9 @@
 // Time in which a caller that used its lookup at the last moment still connects.
 constexpr std::chrono::milliseconds lookupGrace{500};
 
+// Seeds answer within one round trip; the pages of a large member table follow within a second.
+constexpr std::chrono::milliseconds settleTime{1000};
+
 constexpr std::chrono::milliseconds peerGrace{1000};
 constexpr std::chrono::milliseconds pollInterval{50};
 
@@ -63,16 +67,25 @@
     caller.maxBodyBytes = static_cast<std::size_t>(settings.limits.maxBodyBytes);
     caller.maxConnections = static_cast<std::size_t>(settings.limits.maxConnections);
     caller.maxConnectionsPerSource = caller.maxConnections;
-    BOOST_OUTCOME_TRY(callerServer_, HttpServer::create(context_.loop, caller,
-                                                   [this](const auto &request, auto &responder) {
-                                                       callerApi_->handle(request, responder);
-                                                   }));
+    BOOST_OUTCOME_TRY(
+        callerServer_,
+        HttpServer::create(context_.loop, caller, [this](const auto &request, auto &responder) {
+            callerApi_->handle(request, responder);
+        }));
 
     HttpServerSettings operations;
     operations.listen = settings.listen.operations;
+    auto operatorHooks = operatorDependencies(context_, operatorKeys_);
+    collectStatusMetrics(context_.metrics, operatorHooks.status, context_.events);
+    context_.metrics.addCollector([this] {
+        const auto &gossip = context_.membership->counters();
+        context_.metrics
+            .gauge("jy_control_bytes_total", "Bytes of gossip and of calls to other routers.")
+            .set(static_cast<double>(gossip.sentBytes + gossip.receivedBytes
+                                     + context_.peers->counters().bytes));
+    });
     BOOST_OUTCOME_TRY(operatorApi_,
-                 OperatorApi::create(context_.loop, operations,
-                                     operatorDependencies(context_, operatorKeys_)));
+                      OperatorApi::create(context_.loop, operations, std::move(operatorHooks)));
     return success();
 }
 
@@ -83,8 +96,8 @@
         failure_ = reason;
         signals_.cancel();
     });
-    keyReloader_ = std::make_unique<KeyReloader>(settingsFile_, context_.settings,
-                                                 context_.events.sink());
+    keyReloader_ =
+        std::make_unique<KeyReloader>(settingsFile_, context_.settings, context_.events.sink());
     keyReloader_->addHook([this](const RouterSettings &settings) -> Result<void> {
         operatorKeys_.replace(settings.operatorKeys);
         return context_.keys->reload(peerKeys(settings), settings.peerKeys.sealWith);
@@ -95,13 +108,23 @@
                           [this](StopToken &stop) { context_.membership->runProbes(stop); });
     supervisor_->addChild("instance-list",
                           [this](StopToken &stop) { context_.membership->runInstanceList(stop); });
-    supervisor_->addChild("config-watch", [this](StopToken &stop) { context_.config->watch(stop); });
+    supervisor_->addChild("config-watch",
+                          [this](StopToken &stop) { context_.config->watch(stop); });
     supervisor_->addChild("config-follow",
                           [this](StopToken &stop) { context_.config->follow(stop); });
     supervisor_->addChild("attempts",
                           [this](StopToken &stop) { context_.protectedCalls->run(stop); });
     supervisor_->addChild("attempt-cleanup",
                           [this](StopToken &stop) { context_.protectedCalls->cleanUp(stop); });
+    supervisor_->addChild(
+        "settle",
+        [this](StopToken &stop) {
+            if (!stop.sleepFor(settleTime))
+                return;
+            context_.settled = true;
+            updateOwnership();
+        },
+        ChildKind::Transient);
     addPeriodicTask({"moves", MoveDriver::period, [this] { context_.moves->tick(); }});
     addPeriodicTask({"orders", OrderDriver::period, [this] { context_.orders->tick(); }});
     for (const auto &task : context_.owner->tasks())
--- a/modules/jy_router/assembly/Router.h
+++ b/modules/jy_router/assembly/Router.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "jy_peer/rpc/PeerServer.h"
 #include "jy_router/assembly/RouterContext.h"
 #include "jy_router/caller/CallerApi.h"
 #include "jy_router/operations/KeyReloader.h"
 #include "jy_router/operations/OperatorApi.h"
-#include "jy_peer/rpc/PeerServer.h"
 #include "jy_runtime/supervision/Supervisor.h"
 
 #include <boost/asio/signal_set.hpp>
--- a/modules/jy_router/assembly/RouterBuild.cpp
+++ b/modules/jy_router/assembly/RouterBuild.cpp
@@ -119,7 +119,8 @@
 Result<void> Router::buildClients()
 {
     const auto &settings = context_.settings;
-    BOOST_OUTCOME_TRY(context_.keys, KeyRing::create(peerKeys(settings), settings.peerKeys.sealWith));
+    BOOST_OUTCOME_TRY(context_.keys,
+                      KeyRing::create(peerKeys(settings), settings.peerKeys.sealWith));
     HttpClientSettings http;
     http.connectTimeout = settings.timings.connectTimeout;
     context_.http = HttpClient::create(context_.loop, http);
@@ -164,9 +165,9 @@
         context_.owner->onPoolTotals(message);
     };
     BOOST_OUTCOME_TRY(context_.membership,
-                 MembershipDriver::create(std::move(hooks), driver,
-                                          selfInfo(settings, context_.incarnation),
-                                          context_.incarnation));
+                      MembershipDriver::create(std::move(hooks), driver,
+                                               selfInfo(settings, context_.incarnation),
+                                               context_.incarnation));
     return success();
 }
 
@@ -325,14 +326,15 @@
 
 void Router::updateOwnership()
 {
-    if (!context_.owner || !context_.membership)
+    if (!context_.settled)
         return;
     std::vector<LiveRouter> routers;
     for (const auto &member : context_.membership->membership().members()) {
         const bool leaving = member.state == MemberState::Leaving
             || (member.id == context_.self() && context_.leaving);
         if (member.state == MemberState::Alive || member.state == MemberState::Suspect || leaving)
-            routers.push_back({member.id, member.domain, member.region, leaving});
+            routers.push_back(
+                {member.id, member.domain, member.region, leaving, member.incarnation});
     }
     context_.ownership.setLiveRouters(std::move(routers));
     context_.owner->synchronise();
--- a/modules/jy_router/assembly/RouterContext.cpp
+++ b/modules/jy_router/assembly/RouterContext.cpp
@@ -24,11 +24,11 @@
     , incarnation(startTime())
     , events(settings.instance.id.value(),
              static_cast<std::size_t>(settings.limits.eventBufferEvents))
-    , directory(settings.instance.region,
-                [this](const WorkspaceId &workspace, const ModelSpec &model,
-                       std::uint64_t chatHash) {
-                    return moves ? moves->select(model, workspace, chatHash).version : model.serve;
-                })
+    , directory(
+          settings.instance.region,
+          [this](const WorkspaceId &workspace, const ModelSpec &model, std::uint64_t chatHash) {
+              return moves ? moves->select(model, workspace, chatHash).version : model.serve;
+          })
     , retryBudget({.minimumPerSecond = settings.limits.minRetriesPerSecond})
 { }
 
--- a/modules/jy_router/assembly/RouterContext.h
+++ b/modules/jy_router/assembly/RouterContext.h
@@ -70,6 +70,15 @@
     /** The router withdraws: it answers running requests and callers with an old lookup. */
     bool leaving = false;
 
+    /**
+     * Membership has had time to find the other routers. Before, this router would consider itself
+     * the owner of every server.
+     */
+    bool settled = false;
+
+    /** Whether this router serves callers. */
+    bool ready() const { return settled && config->ready() && !leaving; }
+
     const InstanceId &self() const { return settings.instance.id; }
     std::shared_ptr<const DesiredState> desiredState() const;
 
--- a/modules/jy_router/ownership/OwnerService.cpp
+++ b/modules/jy_router/ownership/OwnerService.cpp
@@ -19,6 +19,9 @@
                               global.queueTimeout);
 }
 
+// Copies of the instance list at different routers agree again after about this time.
+constexpr std::chrono::milliseconds listLag{1000};
+
 } // namespace
 
 OwnerService::OwnerService(LedgerSettings settings, OwnerServiceDependencies dependencies)
@@ -100,7 +103,10 @@
 {
     const auto *known = dependencies_.directory.find(server);
     if (known == nullptr)
-        return failure(ErrorKind::UnknownTarget, "no server " + server.value());
+        // The caller's router chose the server from its own copy of the list, which may be newer.
+        return failure(ErrorKind::NoCapacity,
+                       "the owner's instance list does not contain server " + server.value(),
+                       listLag);
     if (!ledger_.owns(server)) {
         const auto owner = dependencies_.ownership.owner(server, known->region);
         if (owner != settings_.self) {
--- a/programs/jyrouter/main.cpp
+++ b/programs/jyrouter/main.cpp
@@ -38,10 +38,8 @@
     if (const auto *exitCode = std::get_if<ExitCode>(&options))
         return static_cast<int>(*exitCode);
     const auto &parsed = std::get<jy::ProgramOptions>(options);
-    const auto settings =
-        jy::loadProgramSettings<jy::RouterSettings>(parsed, std::cout, std::cerr);
+    const auto settings = jy::loadProgramSettings<jy::RouterSettings>(parsed, std::cout, std::cerr);
     if (const auto *exitCode = std::get_if<ExitCode>(&settings))
         return static_cast<int>(*exitCode);
-    return static_cast<int>(
-        runRouter(std::get<jy::RouterSettings>(settings), parsed.settingsFile));
+    return static_cast<int>(runRouter(std::get<jy::RouterSettings>(settings), parsed.settingsFile));
 }
