Reuse unchanged parts in an apply

An apply at 9,000 workspaces took 70.6 ms of processor time on the loop of one router, 28 ms of it for writing all parts. Parts whose entries are equal to the state in force are now taken from it, a head that the router holds is not assembled again, and documents are parsed into one arena.

--- a/modules/jy_core/config/ConfigApply.cpp
+++ b/modules/jy_core/config/ConfigApply.cpp
@@ -142,6 +142,10 @@
         inForce_ = nullptr;
         return prepare();
     }
+    if (local_ && local_->head == baseHead_) {
+        inForce_ = local_;
+        return conflicted_ ? conflict() : prepare();
+    }
     missing_ = missingParts(baseHead_, received_, local_.get());
     if (!missing_.empty()) {
         phase_ = Phase::ReadPart;
@@ -197,7 +201,7 @@
     if (head.recent.size() > recentRequestCount)
         head.recent.resize(recentRequestCount);
     ConfigIssues issues;
-    for (const auto &[name, content] : splitDesiredState(submitted_)) {
+    for (const auto &[name, content] : splitDesiredState(submitted_, inForce_.get())) {
         if (content->size() > kvValueLimitBytes)
             issues.push_back({name, std::to_string(content->size()) + " bytes",
                               "at most " + std::to_string(kvValueLimitBytes) + " bytes"});
--- a/modules/jy_core/config/ConfigParts.cpp
+++ b/modules/jy_core/config/ConfigParts.cpp
@@ -9,7 +9,7 @@
 #include <openssl/evp.h>
 
 #include <array>
-#include <cstdio>
+#include <set>
 
 namespace jy {
 
@@ -54,9 +54,22 @@
                       [part](const auto &entry) { return workspacePartName(entry.first) == part; });
 }
 
+// Adds the part of a previous snapshot if it has one. @returns whether the part is settled
+bool reusePart(ConfigContents &parts, const std::string &name, const ConfigSnapshot &previous)
+{
+    const auto found = previous.parts.find(name);
+    if (found != previous.parts.end())
+        parts.insert(*found);
+    return found != previous.parts.end();
+}
+
 template <class Entries>
-void addPart(ConfigContents &parts, const std::string &name, const Entries &entries)
+void addPart(ConfigContents &parts, const std::string &name, Entries DesiredState::*section,
+             const DesiredState &state, const ConfigSnapshot *previous)
 {
+    const auto &entries = state.*section;
+    if (previous && previous->state.get()->*section == entries && reusePart(parts, name, *previous))
+        return;
     const json::object object = toJson(entries);
     if (!object.empty())
         parts.emplace(name, std::make_shared<const std::string>(json::serialize(object)));
@@ -77,6 +90,28 @@
     return held && *held == hash;
 }
 
+// Names of the workspace parts of a snapshot whose workspaces are all the same in a state.
+std::set<std::string> equalWorkspaceParts(const DesiredState &state, const ConfigSnapshot &previous)
+{
+    std::set<std::string> equal;
+    for (const auto &[name, content] : previous.parts) {
+        if (name.starts_with(workspacePrefix))
+            equal.insert(name);
+    }
+    const auto exclude = [&](const DesiredState &left, const DesiredState &right) {
+        auto other = right.workspaces.begin();
+        for (const auto &[id, workspace] : left.workspaces) {
+            while (other != right.workspaces.end() && other->first < id)
+                ++other;
+            if (other == right.workspaces.end() || other->second != workspace)
+                equal.erase(workspacePartName(id));
+        }
+    };
+    exclude(state, *previous.state);
+    exclude(*previous.state, state);
+    return equal;
+}
+
 Result<void> readPart(const std::string &name, const std::string &content, DesiredState &state)
 {
     // A part that this release does not know belongs to a newer one.
@@ -183,16 +218,22 @@
     return name;
 }
 
-ConfigContents splitDesiredState(const DesiredState &state)
+ConfigContents splitDesiredState(const DesiredState &state, const ConfigSnapshot *previous)
 {
     ConfigContents parts;
-    addPart(parts, "global", state.global);
-    addPart(parts, "domains", state.domains);
-    addPart(parts, "models", state.models);
-    addPart(parts, "services", state.services);
+    addPart(parts, "global", &DesiredState::global, state, previous);
+    addPart(parts, "domains", &DesiredState::domains, state, previous);
+    addPart(parts, "models", &DesiredState::models, state, previous);
+    addPart(parts, "services", &DesiredState::services, state, previous);
+    const auto reused = previous ? equalWorkspaceParts(state, *previous) : std::set<std::string>();
+    for (const auto &name : reused)
+        reusePart(parts, name, *previous);
     std::map<std::string, json::object> workspaces;
-    for (const auto &[id, workspace] : state.workspaces)
-        workspaces[workspacePartName(id)].emplace(id.value(), toJson(workspace));
+    for (const auto &[id, workspace] : state.workspaces) {
+        auto name = workspacePartName(id);
+        if (!reused.contains(name))
+            workspaces[std::move(name)].emplace(id.value(), toJson(workspace));
+    }
     for (const auto &[name, object] : workspaces)
         parts.emplace(name, std::make_shared<const std::string>(json::serialize(object)));
     return parts;
--- a/modules/jy_core/config/ConfigParts.h
+++ b/modules/jy_core/config/ConfigParts.h
@@ -66,9 +66,6 @@
 /** "workspaces-00" to "workspaces-63". */
 std::string workspacePartName(const WorkspaceId &workspace);
 
-/** Part name to content. Equal states give equal contents. */
-ConfigContents splitDesiredState(const DesiredState &state);
-
 /** One complete revision: its head, the content of its parts and the state they describe. */
 struct ConfigSnapshot
 {
@@ -83,6 +80,15 @@
     std::shared_ptr<const DesiredState> state;
 };
 
+/**
+ * Part name to content.
+ *
+ * @param previous a snapshot whose parts are reused where the entries are equal, or null; writing
+ *                 all parts of 9,000 workspaces takes 28 ms, a change usually concerns one
+ */
+ConfigContents splitDesiredState(const DesiredState &state,
+                                 const ConfigSnapshot *previous = nullptr);
+
 /** Parts that are needed to complete a revision: name to content hash. */
 using MissingParts = std::map<std::string, std::string>;
 
--- a/modules/jy_core/config/DesiredStateReader.cpp
+++ b/modules/jy_core/config/DesiredStateReader.cpp
@@ -2,6 +2,7 @@
 
 #include "jy_core/config/DuplicateKeys.h"
 
+#include <boost/json/monotonic_resource.hpp>
 #include <boost/json/stream_parser.hpp>
 
 #include <algorithm>
@@ -86,7 +87,8 @@
     json::parse_options options;
     options.allow_comments = true;
     options.allow_trailing_commas = true;
-    json::stream_parser parser({}, options);
+    // A document is read once and then dropped as a whole.
+    json::stream_parser parser(json::make_shared_resource<json::monotonic_resource>(), options);
     json::error_code error;
     const auto consumed = parser.write_some(text.data(), text.size(), error);
     if (!error && consumed < text.size())
--- a/modules/jy_core/config/JsonFields.cpp
+++ b/modules/jy_core/config/JsonFields.cpp
@@ -261,17 +261,17 @@
 {
     if (!object_ || context_.unknownKeys == UnknownKeys::Ignore)
         return;
-    std::vector<std::string_view> known(known_.begin(), known_.end());
+    std::sort(known_.begin(), known_.end());
     for (const auto &[key, value] : *object_) {
         const std::string_view name(key.data(), key.size());
-        if (!known_.contains(name))
-            addIssue(name, &value, "unknown key; " + joined(known));
+        if (std::find(known_.begin(), known_.end(), name) == known_.end())
+            addIssue(name, &value, "unknown key; " + joined(known_));
     }
 }
 
 const boost::json::value *JsonFields::find(std::string_view key)
 {
-    known_.insert(key);
+    known_.push_back(key);
     return object_ ? object_->if_contains(key) : nullptr;
 }
 
--- a/modules/jy_core/config/JsonFields.h
+++ b/modules/jy_core/config/JsonFields.h
@@ -8,7 +8,6 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -80,7 +79,8 @@
     const boost::json::object *object_ = nullptr;
     std::string path_;
     JsonReadContext &context_;
-    std::set<std::string_view> known_;
+    // At most ten entries, in order of use.
+    std::vector<std::string_view> known_;
 };
 
 /** Whether @p text may be used as an identifier, which also becomes part of KV key paths. */
--- a/modules/jy_http/client/ConnectionPool.h
+++ b/modules/jy_http/client/ConnectionPool.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "jy_base/time/TimeTypes.h"
 #include "jy_base/net/Endpoint.h"
+#include "jy_base/time/TimeTypes.h"
 #include "jy_http/client/HttpClient.h"
 
 #include <boost/asio/ip/tcp.hpp>
--- a/tests/jy_core/ConfigReplicaTest.cpp
+++ b/tests/jy_core/ConfigReplicaTest.cpp
@@ -124,6 +124,31 @@
     }
 }
 
+// Guards against a change that is lost because its part was taken from the previous revision.
+RC_GTEST_PROP(ConfigPartsProperty, ReusedPartsGiveTheSameContents,
+              (const std::vector<std::pair<std::uint8_t, std::uint8_t>> &changes))
+{
+    const auto before = makeState(1, 40, 1);
+    ConfigReplica replica;
+    const auto first = publish(before);
+    replica.offer(first.head, first.contents);
+    auto after = before;
+    for (const auto &[choice, weight] : changes) {
+        const WorkspaceId id("w" + std::to_string(choice % 50));
+        if (weight % 4 == 0)
+            after.workspaces.erase(id);
+        else
+            after.workspaces[id] = {.id = id, .weight = weight + 1.0};
+        if (choice > 240)
+            after.models[ModelId("m")].maxConcurrency = weight + 1;
+    }
+    const auto reused = splitDesiredState(after, replica.snapshot().get());
+    const auto complete = splitDesiredState(after);
+    RC_ASSERT(reused.size() == complete.size());
+    for (const auto &[name, content] : complete)
+        RC_ASSERT(*reused.at(name) == *content);
+}
+
 const InstanceId peerA("a");
 const InstanceId peerB("b");
 
