--- a/bench/common/Fleet.cpp
+++ b/bench/common/Fleet.cpp
@@ -145,17 +145,26 @@
 void Fleet::startEngines(int domain)
 {
     const std::vector<int> members = enginesOf(domain);
-    engines_[domain] = startProgram(
-        "standin_engine", "engines-" + std::to_string(domain),
-        {flag("port", port(enginePorts + members.front())),
-         flag("count", static_cast<std::int64_t>(members.size())),
-         flag("control_port", port(engineControlPorts + domain)), flag("first_id", members.front()),
-         "--model=" + spec_.model, "--domain=" + domainName(domain), "--region=" + spec_.region,
-         "--knobs=" + boost::json::serialize(spec_.engineKnobs),
+    startEngineGroup(domain, members.front(), static_cast<int>(members.size()), "v1");
+}
+
+void Fleet::startSpareEngines(int count)
+{
+    startEngineGroup(domainCount(), spec_.engines, count, "");
+}
+
+void Fleet::startEngineGroup(int group, int first, int count, const std::string &version)
+{
+    engines_[group] = startProgram(
+        "standin_engine", "engines-" + std::to_string(group),
+        {flag("port", port(enginePorts + first)), flag("count", count),
+         flag("control_port", port(engineControlPorts + group)), flag("first_id", first),
+         "--model=" + spec_.model, "--model_version=" + version, "--domain=" + groupDomain(group),
+         "--region=" + spec_.region, "--knobs=" + boost::json::serialize(spec_.engineKnobs),
          flag("instances_port", port(instancesPort)),
          flag("listed_port_offset", spec_.proxyEngines ? proxiedEnginePorts - enginePorts : 0),
          flag("weights_port", port(weightsPort))});
-    waitForPort(engineControlPorts + domain);
+    waitForPort(engineControlPorts + group);
 }
 
 void Fleet::startServers()
@@ -326,7 +335,7 @@
         const Json answer = control(port(engineControlPorts + domain), "/engines");
         for (const auto &engine : answer.at("value").as_array()) {
             counts.push_back(engine.as_object());
-            counts.back()["domain"] = domainName(domain);
+            counts.back()["domain"] = groupDomain(domain);
         }
     }
     return counts;
--- a/bench/common/Fleet.h
+++ b/bench/common/Fleet.h
@@ -39,6 +39,9 @@
     /** Starts engines and services and lists them. */
     void startServers();
 
+    /** Starts engines that hold no version yet, in the first failure domain. */
+    void startSpareEngines(int count);
+
     void startRouter(int router);
 
     /** Everything above, the first desired state, and ready routers. Throws after @p timeout. */
@@ -133,6 +136,13 @@
     std::unique_ptr<ChildProcess> startProgram(const std::string &program, const std::string &log,
                                                const std::vector<std::string> &flags);
     void startEngines(int domain);
+    void startEngineGroup(int group, int first, int count, const std::string &version);
+
+    /** Spare engines form the group after those of the domains. */
+    const std::string &groupDomain(int group) const
+    {
+        return domainName(group < domainCount() ? group : 0);
+    }
     Json proxySettings() const;
     Json routerSettings(int router) const;
     Json call(const Endpoint &endpoint, const std::string &method, const std::string &path,
--- a/bench/jybench/Scenarios.cpp
+++ b/bench/jybench/Scenarios.cpp
@@ -69,6 +69,12 @@
     return change(mark, {"domains", domain, "state"}, boost::json::string(state));
 }
 
+/** Engines for a new version, started beside the old ones. */
+Step startSpares(int count)
+{
+    return act("start spare engines", [count](Run &run) { run.fleet.startSpareEngines(count); });
+}
+
 Step startMove(std::chrono::seconds deadline)
 {
     return act("start move", [deadline](Run &run) {
@@ -119,9 +125,9 @@
     return {name,
             "fitzroy",
             nullptr,
-            {engines({{"bad", bad}}), load("chats", chats(400, 800, 38)), wait(3s), startMove(30s),
-             moveReaches("m1", "taken-back", 32s), checkBadVersion(), finish("chats"),
-             noColdOverload()}};
+            {startSpares(6), engines({{"bad", bad}}), load("chats", chats(400, 800, 38)), wait(3s),
+             startMove(30s), moveReaches("m1", "taken-back", 32s), checkBadVersion(),
+             finish("chats"), noColdOverload()}};
 }
 
 /** Value of a counter without labels, or the sum over its labels. */
@@ -320,7 +326,7 @@
         {"version-good",
          "fitzroy",
          nullptr,
-         {load("chats", chats(300, 600, 45)), wait(3s), startMove(40s),
+         {startSpares(9), load("chats", chats(300, 600, 45)), wait(3s), startMove(40s),
           moveReaches("m1", "done", 40s), finish("chats"), nothingFails("chats"),
           noColdOverload()}},
         {"at-most-once",
