Judge slowness only by cached prompts at warm engines

The miss threshold came from short first prompts, while moved chats bring long ones.

Reservations now say whether the server is on its cold-start ramp. Only cached prompts at warm engines are timed, and the threshold is five times the old version's mean, at least 150 ms, about a tenth of the target of 1.4 s.

--- a/modules/jy_core/ledger/OwnerLedger.cpp
+++ b/modules/jy_core/ledger/OwnerLedger.cpp
@@ -275,6 +275,12 @@
     return result;
 }
 
+bool OwnerLedger::cold(const ServerId &server) const
+{
+    const auto found = servers_.find(server);
+    return found != servers_.end() && found->second.cold();
+}
+
 std::vector<OwnedServerView> OwnerLedger::views(TimePoint now) const
 {
     std::vector<OwnedServerView> result;
--- a/modules/jy_core/ledger/OwnerLedger.h
+++ b/modules/jy_core/ledger/OwnerLedger.h
@@ -103,6 +103,9 @@
     LedgerActions takeActions();
 
     bool owns(const ServerId &server) const { return servers_.contains(server); }
+
+    /** Whether an owned server is on its cold-start ramp. */
+    bool cold(const ServerId &server) const;
     std::vector<ServerId> owned() const;
     std::vector<OwnedServerView> views(TimePoint now) const;
     std::size_t memoryBytes() const;
--- a/modules/jy_core/versions/CanaryJudge.cpp
+++ b/modules/jy_core/versions/CanaryJudge.cpp
@@ -69,8 +69,9 @@
                static_cast<double>(newSum.errors));
     if (tests.errors.cumulativeSum >= settings_.badThreshold)
         return describe("error", oldErrorRate);
-    const double oldSlowRate = update(tests.slow, oldRequests, static_cast<double>(oldSum.slow),
-                                      newRequests, static_cast<double>(newSum.slow));
+    const double oldSlowRate =
+        update(tests.slow, static_cast<double>(oldSum.timed), static_cast<double>(oldSum.slow),
+               static_cast<double>(newSum.timed), static_cast<double>(newSum.slow));
     if (tests.slow.cumulativeSum >= settings_.badThreshold)
         return describe("slow first token", oldSlowRate);
     return std::nullopt;
--- a/modules/jy_core/versions/EvidenceTable.cpp
+++ b/modules/jy_core/versions/EvidenceTable.cpp
@@ -10,10 +10,8 @@
     requests += other.requests;
     errors += other.errors;
     slow += other.slow;
-    cacheHits += other.cacheHits;
-    hitFirstTokenMs += other.hitFirstTokenMs;
-    cacheMisses += other.cacheMisses;
-    missFirstTokenMs += other.missFirstTokenMs;
+    timed += other.timed;
+    firstTokenMs += other.firstTokenMs;
     return *this;
 }
 
@@ -26,9 +24,7 @@
     auto &held = evidence.counts[{count.version, count.route, count.slot}][owner];
     // Counts of a slot only grow, so a report with fewer requests is an older one.
     if (count.requests >= held.requests)
-        held = {count.requests,        count.errors,          count.slow,
-                count.cacheHits,       count.hitFirstTokenMs, count.cacheMisses,
-                count.missFirstTokenMs};
+        held = {count.requests, count.errors, count.slow, count.timed, count.firstTokenMs};
     std::erase_if(evidence.counts, [&evidence](const auto &entry) {
         return std::get<2>(entry.first) + retainedSlots < evidence.newestSlot;
     });
--- a/modules/jy_core/versions/EvidenceTable.h
+++ b/modules/jy_core/versions/EvidenceTable.h
@@ -23,16 +23,18 @@
     std::uint32_t requests = 0;
     std::uint32_t errors = 0;
 
-    /** Requests whose first token came later than the slow threshold. */
+    /** Timed requests whose first token came later than the slow threshold. */
     std::uint32_t slow = 0;
 
-    /** Requests that reused a cached prefix, and the sum of their times to first token. */
-    std::uint32_t cacheHits = 0;
-    std::uint64_t hitFirstTokenMs = 0;
+    /**
+     * Timed requests: successful ones that reused a cached prefix at an engine past its cold-start
+     * ramp. Chats that have just moved start without a cached prefix, so the time to first token of
+     * other requests depends on the length of the prompt more than on the version.
+     */
+    std::uint32_t timed = 0;
 
-    /** Sum of the times to first token of the other successful requests, and their number. */
-    std::uint32_t cacheMisses = 0;
-    std::uint64_t missFirstTokenMs = 0;
+    /** Sum of the times to first token of timed requests. */
+    std::uint64_t firstTokenMs = 0;
 
     bool operator==(const OutcomeCount &) const = default;
 };
@@ -43,10 +45,8 @@
     std::uint64_t requests = 0;
     std::uint64_t errors = 0;
     std::uint64_t slow = 0;
-    std::uint64_t cacheHits = 0;
-    std::uint64_t hitFirstTokenMs = 0;
-    std::uint64_t cacheMisses = 0;
-    std::uint64_t missFirstTokenMs = 0;
+    std::uint64_t timed = 0;
+    std::uint64_t firstTokenMs = 0;
 
     OutcomeSum &operator+=(const OutcomeSum &other);
 };
--- a/modules/jy_core/versions/OutcomeCounter.cpp
+++ b/modules/jy_core/versions/OutcomeCounter.cpp
@@ -9,28 +9,23 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint64_t requestsForThreshold = 20;
-constexpr std::uint64_t slowMultiple = 2;
+constexpr std::uint64_t slowMultiple = 5;
 
-// A shorter threshold would count scheduling delays of a fast engine as a fault.
-constexpr milliseconds shortestThreshold{50};
+// About a tenth of the target. While chats move, prefills of uncached prompts delay the other
+// requests of an engine by up to this; 50 ms took good versions back.
+constexpr milliseconds shortestThreshold{150};
 
-milliseconds threshold(std::uint64_t requests, std::uint64_t totalMs, milliseconds fallback)
-{
-    if (requests < requestsForThreshold)
-        return fallback;
-    return std::max(shortestThreshold, milliseconds(slowMultiple * totalMs / requests));
-}
+// For 95 in 100 requests, the first token is due within this time.
+constexpr milliseconds targetThreshold{1400};
 
 } // namespace
 
-SlowThresholds slowThresholds(const OutcomeSum &oldVersion)
+milliseconds slowThreshold(const OutcomeSum &oldVersion)
 {
-    const SlowThresholds target;
-    SlowThresholds result;
-    result.cacheHit = threshold(oldVersion.cacheHits, oldVersion.hitFirstTokenMs, target.cacheHit);
-    result.cacheMiss =
-        threshold(oldVersion.cacheMisses, oldVersion.missFirstTokenMs, target.cacheMiss);
-    return result;
+    if (oldVersion.timed < requestsForThreshold)
+        return targetThreshold;
+    return std::max(shortestThreshold,
+                    milliseconds(slowMultiple * oldVersion.firstTokenMs / oldVersion.timed));
 }
 
 std::uint64_t OutcomeCounter::slotOf(WallTime wall)
@@ -51,18 +46,19 @@
         ++count.errors;
         return;
     }
-    const auto limits = thresholds_[outcome.move];
-    if (outcome.firstToken > (outcome.cacheHit ? limits.cacheHit : limits.cacheMiss))
-        ++count.slow;
-    const auto firstTokenMs =
+    if (outcome.cold || outcome.cacheMiss)
+        return;
+    ++count.timed;
+    count.firstTokenMs +=
         static_cast<std::uint64_t>(std::max<std::int64_t>(0, outcome.firstToken.count()));
-    (outcome.cacheHit ? count.cacheHits : count.cacheMisses) += 1;
-    (outcome.cacheHit ? count.hitFirstTokenMs : count.missFirstTokenMs) += firstTokenMs;
+    const auto threshold = thresholds_.find(outcome.move);
+    if (outcome.firstToken > (threshold == thresholds_.end() ? targetThreshold : threshold->second))
+        ++count.slow;
 }
 
-void OutcomeCounter::setThresholds(const MoveId &move, SlowThresholds thresholds)
+void OutcomeCounter::setSlowThreshold(const MoveId &move, milliseconds threshold)
 {
-    thresholds_[move] = thresholds;
+    thresholds_[move] = threshold;
 }
 
 std::vector<OutcomeCount> OutcomeCounter::report(const MoveId &move, WallTime wall)
--- a/modules/jy_core/versions/OutcomeCounter.h
+++ b/modules/jy_core/versions/OutcomeCounter.h
@@ -10,20 +10,11 @@
 
 namespace jy {
 
-/** Times to first token above which a request counts as slow. */
-struct SlowThresholds
-{
-    std::chrono::milliseconds cacheHit{1400};
-    std::chrono::milliseconds cacheMiss{1400};
-};
-
 /**
- * Thresholds from what the old version needed: a multiple of its mean, separately for requests with
- * and without a cached prefix, since chats that have just moved start without one.
- *
- * @returns the service target of 1.4 s where too few requests of the old version are known
+ * Time to first token above which a timed request counts as slow: a multiple of the old version's
+ * mean, or the service target of 1.4 s while too few requests of the old version are known.
  */
-SlowThresholds slowThresholds(const OutcomeSum &oldVersion);
+std::chrono::milliseconds slowThreshold(const OutcomeSum &oldVersion);
 
 /** One finished request of a move, as its owner saw it. */
 struct MoveOutcome
@@ -32,8 +23,13 @@
     VersionId version;
     std::string route;
     bool ok = true;
-    bool cacheHit = false;
+
+    /** Known not to have reused a cached prefix. */
+    bool cacheMiss = false;
     std::chrono::milliseconds firstToken{0};
+
+    /** The engine is on its cold-start ramp: its time to first token is no evidence. */
+    bool cold = false;
 };
 
 /** Counts the outcomes that one owner saw, in time slots, for its reports to the coordinator. */
@@ -50,13 +46,13 @@
     static std::uint64_t slotOf(WallTime wall);
 
     void record(const MoveOutcome &outcome, WallTime wall);
-    void setThresholds(const MoveId &move, SlowThresholds thresholds);
+    void setSlowThreshold(const MoveId &move, std::chrono::milliseconds threshold);
 
     /** Cumulative counts of the recent slots of a move; drops older ones. */
     std::vector<OutcomeCount> report(const MoveId &move, WallTime wall);
 
 private:
-    std::map<MoveId, SlowThresholds> thresholds_;
+    std::map<MoveId, std::chrono::milliseconds> thresholds_;
     std::map<std::tuple<MoveId, std::uint64_t, VersionId, std::string>, OutcomeCount> counts_;
 };
 
--- a/modules/jy_router/assembly/CallerWiring.cpp
+++ b/modules/jy_router/assembly/CallerWiring.cpp
@@ -83,7 +83,7 @@
         sample.total = outcome.total;
         sample.cacheHit = outcome.cacheHit.value_or(false);
         context_.reservations->release(placed, &sample, reservation.route, version);
-        countForMove(reservation, outcome);
+        countForMove(reservation, outcome, placed.cold);
     }
 
 private:
@@ -98,7 +98,7 @@
                                            {"server", placed.server.value()}}});
     }
 
-    void countForMove(const Reservation &reservation, const CallOutcome &outcome)
+    void countForMove(const Reservation &reservation, const CallOutcome &outcome, bool cold)
     {
         const auto state = context_.desiredState();
         if (!state || reservation.server.kind != ServerKind::Engine)
@@ -111,8 +111,9 @@
         if (selected.move.empty())
             return;
         context_.moves->recordOutcome({selected.move, reservation.server.version, reservation.route,
-                                       !outcome.error, outcome.cacheHit.value_or(false),
-                                       outcome.firstToken.value_or(std::chrono::milliseconds{0})});
+                                       !outcome.error, outcome.cacheHit == false,
+                                       outcome.firstToken.value_or(std::chrono::milliseconds{0}),
+                                       cold});
     }
 
     RouterContext &context_;
--- a/modules/jy_router/assembly/PeerWiring.cpp
+++ b/modules/jy_router/assembly/PeerWiring.cpp
@@ -21,19 +21,18 @@
     message.set_requests(count.requests);
     message.set_errors(count.errors);
     message.set_slow(count.slow);
-    message.set_cache_hits(count.cacheHits);
-    message.set_hit_first_token_ms(count.hitFirstTokenMs);
-    message.set_cache_misses(count.cacheMisses);
-    message.set_miss_first_token_ms(count.missFirstTokenMs);
+    message.set_timed(count.timed);
+    message.set_first_token_ms(count.firstTokenMs);
     return message;
 }
 
 OutcomeCount fromProto(const peer::OutcomeCount &message)
 {
-    return {MoveId(message.move()), VersionId(message.version()), message.route(),
-            message.slot(),         message.requests(),           message.errors(),
-            message.slow(),         message.cache_hits(),         message.hit_first_token_ms(),
-            message.cache_misses(), message.miss_first_token_ms()};
+    return {MoveId(message.move()),  VersionId(message.version()),
+            message.route(),         message.slot(),
+            message.requests(),      message.errors(),
+            message.slow(),          message.timed(),
+            message.first_token_ms()};
 }
 
 peer::StopMarks toProto(const MoveBoard &board)
@@ -85,19 +84,18 @@
     for (const auto &count : report.counts())
         counts.push_back(fromProto(count));
     peer::OutcomeReply reply;
-    for (const auto &[move, limits] :
+    for (const auto &[move, limit] :
          context.moves->receiveCounts(InstanceId(report.from()), counts)) {
         auto &entry = *reply.add_thresholds();
         entry.set_move(move.value());
-        entry.set_cache_hit_ms(static_cast<std::uint32_t>(limits.cacheHit.count()));
-        entry.set_cache_miss_ms(static_cast<std::uint32_t>(limits.cacheMiss.count()));
+        entry.set_first_token_ms(static_cast<std::uint32_t>(limit.count()));
     }
     return reply;
 }
 
-Result<std::map<MoveId, SlowThresholds>> sendCounts(RouterContext &context,
-                                                    const InstanceId &coordinator,
-                                                    const std::vector<OutcomeCount> &counts)
+Result<std::map<MoveId, std::chrono::milliseconds>>
+sendCounts(RouterContext &context, const InstanceId &coordinator,
+           const std::vector<OutcomeCount> &counts)
 {
     const auto endpoint = context.rpcEndpoint(coordinator);
     if (!endpoint)
@@ -110,10 +108,9 @@
     const auto reply = context.peers->reportOutcomes(endpoint.value(), report, callTimeout);
     if (!reply)
         return failure(reply.error().kind, reply.error().message);
-    std::map<MoveId, SlowThresholds> thresholds;
+    std::map<MoveId, std::chrono::milliseconds> thresholds;
     for (const auto &entry : reply.value().thresholds())
-        thresholds[MoveId(entry.move())] = {std::chrono::milliseconds(entry.cache_hit_ms()),
-                                            std::chrono::milliseconds(entry.cache_miss_ms())};
+        thresholds[MoveId(entry.move())] = std::chrono::milliseconds(entry.first_token_ms());
     return thresholds;
 }
 
--- a/modules/jy_router/ownership/OwnerService.cpp
+++ b/modules/jy_router/ownership/OwnerService.cpp
@@ -73,6 +73,7 @@
     }
     if (const auto *granted = std::get_if<Granted>(&result)) {
         *reply.mutable_reservation() = toProto(granted->key);
+        reply.set_cold(ledger_.cold(server));
         dispatchActions();
         return reply;
     }
@@ -80,6 +81,7 @@
     if (!key)
         return fail(key.error());
     *reply.mutable_reservation() = toProto(key.value());
+    reply.set_cold(ledger_.cold(server));
     return reply;
 }
 
--- a/modules/jy_router/ownership/ReservationClient.cpp
+++ b/modules/jy_router/ownership/ReservationClient.cpp
@@ -78,21 +78,22 @@
                                             Attempt attempt)
 {
     const auto &home = request.candidates.front();
-    const auto placedAt = [&](const ReservationKey &key, const ServerId &chosen, bool moved) {
+    const auto placedAt = [&](const Outcome &granted, const ServerId &chosen, bool moved) {
+        const auto &key = granted.key;
         held_[key] = {chosen, request.workspace};
-        return Placed{key, chosen, home, request.workspace, request.chatHash, moved};
+        return Placed{key, chosen, home, request.workspace, request.chatHash, moved, granted.cold};
     };
     auto outcome = reserve(request, server, attempt);
     if (outcome && !outcome.value().redirect.empty()) {
         const ServerId other = outcome.value().redirect;
         const auto redirected = reserve(request, other, {.displaced = true});
         if (redirected)
-            return placedAt(redirected.value().key, other, false);
+            return placedAt(redirected.value(), other, false);
         outcome = reserve(request, server, {.displaced = true, .wait = attempt.wait});
     }
     if (!outcome)
         return failure(outcome.error().kind, outcome.error().message, outcome.error().retryAfter);
-    return placedAt(outcome.value().key, server, server != home);
+    return placedAt(outcome.value(), server, server != home);
 }
 
 peer::ReserveRequest ReservationClient::message(const PlaceRequest &request,
@@ -155,7 +156,8 @@
             reply = std::move(answer.value());
         }
         if (!reply.has_failure())
-            return Outcome{fromProto(reply.reservation()), ServerId(reply.redirect_server())};
+            return Outcome{fromProto(reply.reservation()), ServerId(reply.redirect_server()),
+                           reply.cold()};
         const auto error = fromProto(reply.failure());
         const InstanceId named(reply.failure().owner());
         if (attempt > 0 || error.kind != ErrorKind::NotOwner || named.empty() || named == target)
--- a/modules/jy_router/ownership/ReservationClient.h
+++ b/modules/jy_router/ownership/ReservationClient.h
@@ -58,6 +58,9 @@
 
     /** The home server refused, so its owner should learn where the chat went. */
     bool displaced = false;
+
+    /** The server is on its cold-start ramp. */
+    bool cold = false;
 };
 
 /**
@@ -101,6 +104,7 @@
     {
         ReservationKey key;
         ServerId redirect;
+        bool cold = false;
     };
     struct Held
     {
--- a/modules/jy_router/versions/MoveDriver.cpp
+++ b/modules/jy_router/versions/MoveDriver.cpp
@@ -66,32 +66,32 @@
     const auto coordinator = dependencies_.coordinator(move.id);
     if (coordinator == dependencies_.self) {
         for (const auto &[id, thresholds] : receiveCounts(dependencies_.self, counts))
-            counter_.setThresholds(id, thresholds);
+            counter_.setSlowThreshold(id, thresholds);
         return;
     }
     const auto thresholds = dependencies_.sendCounts(coordinator, counts);
     if (!thresholds)
         return; // The next report repeats the recent slots.
     for (const auto &[id, value] : thresholds.value())
-        counter_.setThresholds(id, value);
+        counter_.setSlowThreshold(id, value);
 }
 
-std::map<MoveId, SlowThresholds> MoveDriver::receiveCounts(const InstanceId &owner,
-                                                           const std::vector<OutcomeCount> &counts)
+std::map<MoveId, std::chrono::milliseconds>
+MoveDriver::receiveCounts(const InstanceId &owner, const std::vector<OutcomeCount> &counts)
 {
-    std::map<MoveId, SlowThresholds> thresholds;
+    std::map<MoveId, std::chrono::milliseconds> thresholds;
     for (const auto &count : counts) {
         if (!oldVersions_.contains(count.move))
             continue;
         evidence_.add(owner, count);
-        thresholds.try_emplace(count.move, thresholdsFor(count.move));
+        thresholds.try_emplace(count.move, slowThresholdOf(count.move));
     }
     return thresholds;
 }
 
-SlowThresholds MoveDriver::thresholdsFor(const MoveId &move) const
+std::chrono::milliseconds MoveDriver::slowThresholdOf(const MoveId &move) const
 {
-    return slowThresholds(evidence_.total(move, oldVersions_.at(move)));
+    return slowThreshold(evidence_.total(move, oldVersions_.at(move)));
 }
 
 void MoveDriver::coordinate(const ModelSpec &model, const MoveSpec &spec)
--- a/modules/jy_router/versions/MoveDriver.h
+++ b/modules/jy_router/versions/MoveDriver.h
@@ -39,8 +39,8 @@
         compareAndSwap;
 
     /** Sends counts to a coordinator and returns its slow thresholds. */
-    std::function<Result<std::map<MoveId, SlowThresholds>>(const InstanceId &coordinator,
-                                                           const std::vector<OutcomeCount> &)>
+    std::function<Result<std::map<MoveId, std::chrono::milliseconds>>(
+        const InstanceId &coordinator, const std::vector<OutcomeCount> &)>
         sendCounts;
 
     /** Engines and load of a move's model. */
@@ -76,8 +76,8 @@
     void recordOutcome(const MoveOutcome &outcome);
 
     /** Serves a report of another owner. @returns thresholds for the moves it names. */
-    std::map<MoveId, SlowThresholds> receiveCounts(const InstanceId &owner,
-                                                   const std::vector<OutcomeCount> &counts);
+    std::map<MoveId, std::chrono::milliseconds>
+    receiveCounts(const InstanceId &owner, const std::vector<OutcomeCount> &counts);
 
     /** Merges what a peer knows. */
     void merge(const std::vector<StopMark> &marks, const std::vector<MoveRecord> &records);
@@ -95,7 +95,7 @@
     void write(VersionMove &move, const MoveRecord &record);
     void reread(VersionMove &move, const std::string &key);
     void adoptRecord(const MoveRecord &record);
-    SlowThresholds thresholdsFor(const MoveId &move) const;
+    std::chrono::milliseconds slowThresholdOf(const MoveId &move) const;
 
     MoveDriverDependencies dependencies_;
     VersionMoveSettings settings_;
