Answer protected calls truthfully during a KV outage; slow the cold-start ramp

The answer is now kv_outcome_unknown: this request was not sent, earlier ones are not known, repeat the same key.

--- a/modules/jy_core/limits/ColdStartRamp.cpp
+++ b/modules/jy_core/limits/ColdStartRamp.cpp
@@ -19,6 +19,10 @@
 // configured interval a server whose answers take 10 s would never leave the second stage.
 constexpr int longestRequestsPerWindow = 2;
 
+// One success per place let the limit reach 4 after 3 requests, before a server that needs 8
+// requests to warm up could bear it.
+constexpr int successesPerPlace = 4;
+
 } // namespace
 
 ColdStartRamp::ColdStartRamp(const ColdStartSettings &settings)
@@ -66,7 +70,7 @@
         successes_ = 0;
         windowStart_ = now;
     }
-    if (++successes_ < limit_)
+    if (++successes_ < successesPerPlace * limit_)
         return;
     limit_ *= 2;
     successes_ = 0;
--- a/modules/jy_core/protected/AttemptLedger.cpp
+++ b/modules/jy_core/protected/AttemptLedger.cpp
@@ -14,10 +14,6 @@
 constexpr std::size_t outcomeReserveBytes = 160;
 constexpr std::size_t contentTypeBytes = 100;
 
-// A caller creates the key just before its first call. An older one has probably been used before,
-// so without knowledge of the shard nothing can be said about earlier attempts.
-constexpr std::chrono::seconds firstUseAge{10};
-
 constexpr std::chrono::milliseconds kvRetryAfter{1000};
 
 AttemptLedger::Action claimAnswer(const AttemptOperation &operation, ClaimAnswer result)
@@ -46,13 +42,12 @@
             return record.outcome ? ClaimAnswer(ClaimRepeated{*record.outcome})
                                   : ClaimAnswer(unknownOutcome());
     }
-    if (!shard.everLoaded && operation.keyAge > firstUseAge)
-        return Error{ErrorKind::KvOutcomeUnknown,
-                     "this request was not sent; earlier attempts with this key are unknown while "
-                     "the KV service does not respond: "
-                         + error.message,
-                     kvRetryAfter};
-    return Error{ErrorKind::KvUnavailable, "the claim could not be recorded: " + error.message,
+    // Another router may have claimed the key since this copy was read, so "not run" could be
+    // false.
+    return Error{ErrorKind::KvOutcomeUnknown,
+                 "this request was not sent; earlier attempts with this key are unknown while the "
+                 "KV service does not respond: "
+                     + error.message,
                  kvRetryAfter};
 }
 
@@ -80,16 +75,11 @@
 }
 
 AttemptLedger::Ticket AttemptLedger::claim(const ProtectedKey &key, const std::string &attempt,
-                                           std::uint64_t digest, std::chrono::milliseconds keyAge,
-                                           TimePoint deadline, TimePoint now)
+                                           std::uint64_t digest, TimePoint deadline, TimePoint now)
 {
-    return enqueue(key,
-                   {.kind = Kind::Claim,
-                    .attempt = attempt,
-                    .digest = digest,
-                    .keyAge = keyAge,
-                    .deadline = deadline},
-                   now);
+    return enqueue(
+        key, {.kind = Kind::Claim, .attempt = attempt, .digest = digest, .deadline = deadline},
+        now);
 }
 
 AttemptLedger::Ticket AttemptLedger::recordOutcome(const ProtectedKey &key,
--- a/modules/jy_core/protected/AttemptLedger.h
+++ b/modules/jy_core/protected/AttemptLedger.h
@@ -100,11 +100,10 @@
     /**
      * Asks for the right to send. Repeating the claim of one attempt gives the same answer.
      *
-     * @param keyAge age of the key when the claim arrived
-     * @param deadline when the claim ends with KvUnavailable
+     * @param deadline when the claim ends with KvOutcomeUnknown
      */
     Ticket claim(const ProtectedKey &key, const std::string &attempt, std::uint64_t digest,
-                 std::chrono::milliseconds keyAge, TimePoint deadline, TimePoint now);
+                 TimePoint deadline, TimePoint now);
 
     /** Records the response of an attempt that sent the call. */
     Ticket recordOutcome(const ProtectedKey &key, const std::string &attempt, std::uint64_t digest,
--- a/modules/jy_core/protected/AttemptShard.h
+++ b/modules/jy_core/protected/AttemptShard.h
@@ -22,7 +22,6 @@
     std::string attempt;
     std::uint64_t digest = 0;
     AttemptOutcome outcome;
-    std::chrono::milliseconds keyAge{0};
     TimePoint deadline;
 };
 
--- a/modules/jy_router/protected/ProtectedCallDriver.cpp
+++ b/modules/jy_router/protected/ProtectedCallDriver.cpp
@@ -184,7 +184,7 @@
     waiters_.erase(ticket);
     if (waiter->answer)
         return std::move(*waiter->answer);
-    return Error{ErrorKind::KvUnavailable, "no answer of the attempt ledger in time"};
+    return Error{ErrorKind::KvOutcomeUnknown, "no answer of the attempt ledger in time"};
 }
 
 // ---- Claims --------------------------------------------------------------------------------
@@ -192,10 +192,7 @@
 ClaimAnswer ProtectedCallDriver::claimHere(const ProtectedKey &key, const std::string &attempt,
                                            std::uint64_t digest, TimePoint deadline)
 {
-    const auto age =
-        std::chrono::duration_cast<milliseconds>(dependencies_.wallNow() - key.created);
-    return waitFor(ledger_.claim(key, attempt, digest, age, deadline, dependencies_.now()),
-                   deadline);
+    return waitFor(ledger_.claim(key, attempt, digest, deadline, dependencies_.now()), deadline);
 }
 
 // An owner that cannot be reached is replaced by this router: compare-and-swap decides, and a
