--- /dev/null
+++ b/modules/jy_router/jy_router.h
@@ -0,0 +1,42 @@
+#pragma once
+
+/**
+ * jy_router: the router process: caller and operator interfaces and the drivers that connect the
+ * state machines of jy_core to fibers and adapters.
+ */
+
+#include "jy_router/assembly/CallerWiring.h"
+#include "jy_router/assembly/OperatorWiring.h"
+#include "jy_router/assembly/PeerWiring.h"
+#include "jy_router/assembly/Router.h"
+#include "jy_router/assembly/RouterContext.h"
+#include "jy_router/caller/AttemptLoop.h"
+#include "jy_router/caller/CallerApi.h"
+#include "jy_router/caller/CallerDependencies.h"
+#include "jy_router/caller/ChatRelay.h"
+#include "jy_router/caller/ProtectedCallBridge.h"
+#include "jy_router/caller/RequestContext.h"
+#include "jy_router/caller/ServiceRelay.h"
+#include "jy_router/config/ConfigDriver.h"
+#include "jy_router/membership/MembershipDriver.h"
+#include "jy_router/operations/Explanation.h"
+#include "jy_router/operations/FleetStatus.h"
+#include "jy_router/operations/KeyReloader.h"
+#include "jy_router/operations/OperatorApi.h"
+#include "jy_router/operations/OperatorJson.h"
+#include "jy_router/operations/OperatorKeys.h"
+#include "jy_router/operations/StatusMetrics.h"
+#include "jy_router/operations/client/Commands.h"
+#include "jy_router/operations/client/ConfigDifference.h"
+#include "jy_router/operations/client/OperatorClient.h"
+#include "jy_router/operations/client/OperatorText.h"
+#include "jy_router/operations/timeline/Collector.h"
+#include "jy_router/operations/timeline/Timeline.h"
+#include "jy_router/orders/OrderDriver.h"
+#include "jy_router/ownership/FiberGroup.h"
+#include "jy_router/ownership/OwnerService.h"
+#include "jy_router/ownership/PeerConversion.h"
+#include "jy_router/ownership/ReservationClient.h"
+#include "jy_router/protected/ProtectedCallDriver.h"
+#include "jy_router/shutdown/GracefulShutdown.h"
+#include "jy_router/versions/MoveDriver.h"
--- a/programs/jyrouter/main.cpp
+++ b/programs/jyrouter/main.cpp
@@ -1,4 +1,4 @@
-#include "jy_router/assembly/Router.h"
+#include "jy_router/jy_router.h"
 #include "jy_runtime/jy_runtime.h"
 
 #include <iostream>
