Remove settings without effect; retry when a server leaves during placement

Reading the whole change showed five settings that no code read (loadPollIntervalMs, outcomeReportIntervalMs, moveLeaseMs, streamBufferBytes, controlBytesPerSecond); they are gone from the settings and their reference. claimBatchWindowMs was not connected and now sets the batch window of the attempt ledger.

A server that leaves the instance list between its reservation and its use was answered unknown_target, which tells callers never to retry; it is no_capacity now, as for the owner's side.

--- a/modules/jy_core/limits/ColdStartRamp.cpp
+++ b/modules/jy_core/limits/ColdStartRamp.cpp
@@ -20,7 +20,7 @@
 constexpr int longestRequestsPerWindow = 2;
 
 // One success per place let the limit reach 4 after 3 requests, before a server that needs 8
-// requests to warm up could bear it.
+// requests to warm up could sustain it.
 constexpr int successesPerPlace = 4;
 
 } // namespace
--- a/modules/jy_router/assembly/CallerWiring.cpp
+++ b/modules/jy_router/assembly/CallerWiring.cpp
@@ -55,7 +55,7 @@
         const auto *server = context_.directory.find(placed.value().server);
         if (server == nullptr) {
             context_.reservations->release(placed.value(), nullptr, call.route, {});
-            return failure(ErrorKind::UnknownTarget,
+            return failure(ErrorKind::NoCapacity,
                            "server " + placed.value().server.value() + " left the instance list");
         }
         if (placed.value().displaced)
--- a/modules/jy_router/assembly/RouterBuild.cpp
+++ b/modules/jy_router/assembly/RouterBuild.cpp
@@ -261,6 +261,7 @@
 void Router::buildProtectedCalls()
 {
     ProtectedCallSettings settings;
+    settings.ledger.batchWindow = context_.settings.timings.claimBatchWindow;
     ProtectedCallDriver::Dependencies hooks;
     hooks.readKey = [this](const std::string &key) { return readKey(context_, key); };
     hooks.swapKey = [this](const std::string &key, const std::string &value, std::uint64_t index) {
--- a/modules/jy_runtime/settings/RouterSettings.cpp
+++ b/modules/jy_runtime/settings/RouterSettings.cpp
@@ -85,8 +85,6 @@
     visitor.duration({"commandFlightMs", "Longest time from sending a command to its effect."},
                      commandFlight, longTime);
     visitor.duration({"commandLeaseMs", "Length of the command lease."}, commandLease, longTime);
-    visitor.duration({"loadPollIntervalMs", "Time between two polls of an owned server."},
-                     loadPollInterval, shortTime);
     visitor.rule("guardIntervalMs", guardInterval < commandLease, "less than commandLeaseMs");
 }
 
@@ -135,10 +133,6 @@
                      longTime);
     visitor.duration({"claimBatchWindowMs", "Time during which claims are gathered for one write."},
                      claimBatchWindow, {1, 1000});
-    visitor.duration({"outcomeReportIntervalMs", "Time between two outcome reports in a move."},
-                     outcomeReportInterval, shortTime);
-    visitor.duration({"moveLeaseMs", "Length of the lease of a move's coordinator."}, moveLease,
-                     longTime);
     visitor.duration(
         {"shutdownDeadlineMs", "Time after SIGTERM at which remaining requests are interrupted."},
         shutdownDeadline, longTime);
@@ -155,10 +149,6 @@
                   {1024, 1024 * 1024});
     visitor.count({"maxBodyBytes", "Largest request body."}, maxBodyBytes,
                   {1024, 256 * 1024 * 1024});
-    visitor.count({"streamBufferBytes", "Bytes buffered for one slow reader."}, streamBufferBytes,
-                  {4096, 16 * 1024 * 1024});
-    visitor.count({"controlBytesPerSecond", "Budget of control traffic of this router."},
-                  controlBytesPerSecond, {1024, 1024 * 1024});
     visitor.count({"indirectProbes", "Routers asked to probe one that did not answer."},
                   indirectProbes, {1, 16});
     visitor.count({"eventBufferEvents", "Events kept for the timeline."}, eventBufferEvents,
--- a/modules/jy_runtime/settings/RouterSettings.h
+++ b/modules/jy_runtime/settings/RouterSettings.h
@@ -82,9 +82,6 @@
 
     std::chrono::milliseconds commandLease{10000};
 
-    /** Time between two polls of the load report of an owned server. */
-    std::chrono::milliseconds loadPollInterval{250};
-
     void describe(SettingsVisitor &visitor);
 };
 
@@ -127,8 +124,6 @@
     std::chrono::milliseconds connectTimeout{500};
     std::chrono::milliseconds requestTimeout{60000};
     std::chrono::milliseconds claimBatchWindow{50};
-    std::chrono::milliseconds outcomeReportInterval{500};
-    std::chrono::milliseconds moveLease{10000};
     std::chrono::milliseconds shutdownDeadline{120000};
 
     void describe(SettingsVisitor &visitor);
@@ -139,8 +134,6 @@
     int maxConnections = 4096;
     std::int64_t maxHeaderBytes = 16 * 1024;
     std::int64_t maxBodyBytes = 4 * 1024 * 1024;
-    std::int64_t streamBufferBytes = 64 * 1024;
-    std::int64_t controlBytesPerSecond = 14 * 1024;
     int indirectProbes = 3;
     int eventBufferEvents = 8192;
     int maxExceptionsPerServer = 16384;
