--- a/modules/jy_base/errors/Error.h
+++ b/modules/jy_base/errors/Error.h
@@ -36,6 +36,7 @@
     ConnectFailed,
     KvUnavailable,
     KvConflict,
+    KvHistoryLost,
     ConfigInvalid,
     ConfigConflict,
     SettingsInvalid,
--- a/modules/jy_base/errors/ErrorTable.cpp
+++ b/modules/jy_base/errors/ErrorTable.cpp
@@ -51,6 +51,7 @@
     ErrorAnswer{K::ConnectFailed, "connect_failed", 502, grpcUnavailable, NotRun, Later},
     ErrorAnswer{K::KvUnavailable, "kv_unavailable", 503, grpcUnavailable, NotRun, Later},
     ErrorAnswer{K::KvConflict, "kv_conflict", 409, grpcAborted, NotRun, Later},
+    ErrorAnswer{K::KvHistoryLost, "kv_history_lost", 503, grpcUnavailable, NotRun, Later},
     ErrorAnswer{K::ConfigInvalid, "config_invalid", 422, grpcInvalidArgument, NotRun, Never},
     ErrorAnswer{K::ConfigConflict, "config_conflict", 409, grpcAborted, NotRun, Never},
     ErrorAnswer{K::SettingsInvalid, "settings_invalid", 422, grpcInvalidArgument, NotRun, Never},
--- a/modules/jy_core/limits/RetryBudget.h
+++ b/modules/jy_core/limits/RetryBudget.h
@@ -28,6 +28,7 @@
     explicit RetryBudget(const RetryBudgetSettings &settings);
 
     void setShare(double share) { settings_.share = share; }
+    void setMinimumPerSecond(double rate) { settings_.minimumPerSecond = rate; }
 
     /** Counts a first attempt. */
     void recordAttempt(TimePoint now);
--- /dev/null
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -0,0 +1,255 @@
+#include "jy_gateway/assembly/Gateway.h"
+
+#include "jy_gateway/registry/InstanceEntry.h"
+#include "jy_gateway/registry/StoreCopy.h"
+#include "jy_runtime/fibers/FiberToken.h"
+#include "jy_runtime/logging/Log.h"
+#include "jy_runtime/settings/Settings.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <random>
+
+namespace jy {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+// Time after SIGTERM for which callers that hold an old answer of the directory are served.
+constexpr milliseconds lateCallerTime{2500};
+
+// Part of the grace period that is left for the end of the process itself.
+constexpr milliseconds exitMargin{600};
+
+// Idle connections to backend servers. Source: their shortest announced timeouts are a few seconds.
+constexpr milliseconds serverIdleTimeout{4000};
+
+// The path of the readiness check belongs to the platform; every other address serves one thing.
+constexpr std::string_view metricsPath = "/metrics";
+
+constexpr std::size_t maxConnections = 3000;
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+std::uint64_t unixMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
+}
+
+void logSupervision(const Event &event)
+{
+    logEvent(LogLevel::Warn, "supervision", {{"kind", event.kind}});
+}
+
+} // namespace
+
+Gateway::Gateway(EventLoop &loop, GatewaySettings settings, std::string settingsFile,
+                 PlatformAdapter adapter)
+    : loop_(loop)
+    , settings_(std::move(settings))
+    , settingsFile_(std::move(settingsFile))
+    , adapter_(std::move(adapter))
+    , self_{settings_.instance.id, settings_.listen.caller, settings_.listen.peer,
+            settings_.instance.domain}
+    , storeClient_(HttpClient::create(loop, {.connectTimeout = milliseconds(400)}))
+    , serverClient_(HttpClient::create(loop,
+                                       {.connectTimeout = RelaySettings{}.connectTimeout,
+                                        .idleTimeout = serverIdleTimeout}))
+    , store_(adapter_.openStore(*storeClient_, settings_.store))
+    , mirror_([this](const StoreItem &item) { merge(item); })
+    , sync_(store_, mirror_, {},
+            {.lost = [this](const Error &error) { storeLost(error); },
+             .returned = [this] { storeReturned(); },
+             .merged = [this] { stateChanged(); }})
+    , registration_(store_, instanceKey(self_.id), encodeInstance(self_), {})
+    , peers_(self_.id)
+    , incarnation_(unixMilliseconds())
+    , cold_(self_.id)
+    , chooser_(fleet_, loads_, health_, cold_)
+    , relay_({.client = *serverClient_,
+              .fleet = fleet_,
+              .loads = loads_,
+              .health = health_,
+              .chooser = chooser_,
+              .protocol = adapter_.protocol,
+              .metrics = metrics_,
+              .minimumRetryRate = [this] { return minimumRetryRate(); }},
+             {.domain = settings_.instance.domain}, randomSeed())
+{ }
+
+Gateway::~Gateway() = default;
+
+Result<std::unique_ptr<Gateway>> Gateway::create(EventLoop &loop, GatewaySettings settings,
+                                                 std::string settingsFile, PlatformAdapter adapter)
+{
+    std::unique_ptr<Gateway> gateway(new Gateway(loop, std::move(settings),
+                                                 std::move(settingsFile), std::move(adapter)));
+    BOOST_OUTCOME_TRYV2(auto &&, gateway->listen());
+    return gateway;
+}
+
+Result<void> Gateway::listen()
+{
+    const auto &listen = settings_.listen;
+    BOOST_OUTCOME_TRY(beats_, BeatSocket::create(loop_, listen.peer, [this](std::string_view bytes) {
+                          receiveBeat(bytes);
+                      }));
+    BOOST_OUTCOME_TRY(callerServer_,
+                      serve(listen.caller, [this](const HttpRequest &request, HttpResponder &out) {
+                          relay_.handle(request, out);
+                      }));
+    BOOST_OUTCOME_TRY(directoryServer_, serve(listen.directory,
+                                              [this](const HttpRequest &request,
+                                                     HttpResponder &out) {
+                                                  answerDirectory(request, out);
+                                              }));
+    BOOST_OUTCOME_TRY(readinessServer_,
+                      serve(listen.readiness, [this](const HttpRequest &, HttpResponder &out) {
+                          answerReadiness(out);
+                      }));
+    const auto control = [this](const HttpRequest &request, HttpResponder &out) {
+        answerControl(request, out);
+    };
+    BOOST_OUTCOME_TRY(controlServer_, serve(listen.control, control));
+    BOOST_OUTCOME_TRY(metricsServer_, serve(listen.metrics, control));
+    return success();
+}
+
+Result<std::unique_ptr<HttpServer>> Gateway::serve(const Endpoint &address, HttpHandler handler)
+{
+    return HttpServer::create(loop_,
+                              {.listen = address,
+                               .maxConnections = maxConnections,
+                               .maxConnectionsPerSource = maxConnections},
+                              std::move(handler));
+}
+
+Result<void> Gateway::run()
+{
+    logEvent(LogLevel::Info, "started",
+             {{"version", JY_VERSION},
+              {"domain", self_.domain},
+              {"caller", toString(self_.caller)},
+              {"store", toString(settings_.store)}});
+    BOOST_OUTCOME_TRY(supervisor_, Supervisor::create("gateway", {}, logSupervision));
+    startChildren();
+    waitForSignals();
+    shutDown();
+    return success();
+}
+
+void Gateway::startChildren()
+{
+    supervisor_->addChild("store-sync", [this](StopToken &stop) { sync_.run(stop); });
+    supervisor_->addChild("registration", [this](StopToken &stop) { registration_.run(stop); },
+                          ChildKind::Transient);
+    supervisor_->addChild("beats", [this](StopToken &stop) { runBeats(stop); });
+    supervisor_->addChild("housekeeping", [this](StopToken &stop) { runHousekeeping(stop); });
+    supervisor_->addChild("peer-copies", [this](StopToken &stop) { runPeerCopies(stop); });
+}
+
+void Gateway::answerDirectory(const HttpRequest &request, HttpResponder &responder)
+{
+    const auto query = adapter_.protocol.readDirectoryQuery(request);
+    if (!query) {
+        responder.send(errorResponse({ErrorKind::UnknownTarget, "no such call"}));
+        return;
+    }
+    constexpr std::size_t maxAddresses = 64;
+    std::vector<Endpoint> addresses;
+    if (ready())
+        addresses.push_back(self_.caller);
+    for (const auto &peer : peers_.callable(Clock::now())) {
+        if (addresses.size() < maxAddresses)
+            addresses.push_back(peer.caller);
+    }
+    if (addresses.empty()) {
+        responder.send(errorResponse({ErrorKind::NotReady, "no instance is ready"}));
+        return;
+    }
+    responder.send(adapter_.protocol.directoryAnswer(
+        addresses, std::chrono::seconds(settings_.bounds.directoryLifetimeSeconds)));
+}
+
+void Gateway::answerReadiness(HttpResponder &responder) const
+{
+    responder.send(ready() ? 200 : 503, {}, "");
+}
+
+void Gateway::answerControl(const HttpRequest &request, HttpResponder &responder)
+{
+    if (request.path() == metricsPath)
+        responder.send(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                       metrics_.prometheusText());
+    else if (request.path() == storeCopyPath && fleet_.config())
+        responder.send(200, {{"Content-Type", "application/json"}},
+                       encodeStoreCopy(mirror_.items()));
+    else
+        responder.send(errorResponse({ErrorKind::UnknownTarget, "no such call"}));
+}
+
+void Gateway::applyLimits()
+{
+    const auto &config = fleet_.config();
+    if (!config || config->version == appliedLimitsVersion_)
+        return;
+    appliedLimitsVersion_ = config->version;
+    const auto &limits = config->limits;
+    callerServer_->updateLimits({.maxHeadBytes = limits.maxHeadBytes,
+                                 .maxBodyBytes = limits.maxBodyBytes,
+                                 .maxConnections = maxConnections,
+                                 .maxConnectionsPerSource = maxConnections,
+                                 .idleTimeout = limits.idleTimeout,
+                                 .requestTimeout = limits.requestTimeout});
+}
+
+void Gateway::waitForSignals()
+{
+    boost::asio::signal_set signals(loop_.io(), SIGTERM, SIGINT, SIGHUP);
+    while (true) {
+        boost::system::error_code error;
+        const int signal = signals.async_wait(FiberToken{error});
+        if (error || signal != SIGHUP) {
+            logEvent(LogLevel::Info, "stopping", {{"signal", signal}});
+            return;
+        }
+        reload();
+    }
+}
+
+void Gateway::reload()
+{
+    const auto settings = loadSettings<GatewaySettings>(settingsFile_);
+    if (!settings) {
+        logEvent(LogLevel::Error, "reload-failed", {{"reason", settings.error().message}});
+        return;
+    }
+    settings_.seeds = settings.value().seeds;
+    settings_.bounds = settings.value().bounds;
+    settings_.logLevel = settings.value().logLevel;
+    setUpLogging(self_.id.value(), settings_.parsedLogLevel(), LogStream::StandardOutput);
+    logEvent(LogLevel::Info, "reloaded", {{"log_level", settings_.logLevel}});
+}
+
+void Gateway::shutDown()
+{
+    const auto end =
+        Clock::now() + std::chrono::seconds(settings_.bounds.graceSeconds) - exitMargin;
+    stopping_ = true;
+    sendBeat();
+    callerServer_->announceClose();
+    EventLoop::spawn([this] { registration_.withdraw(); });
+    EventLoop::sleepFor(lateCallerTime);
+    const auto left = std::chrono::duration_cast<milliseconds>(end - Clock::now());
+    const auto interrupted = callerServer_->drain(std::max(milliseconds(1), left));
+    logEvent(LogLevel::Info, "stopped", {{"interrupted", interrupted}});
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "jy_gateway/adapter/CallerProtocol.h"
+#include "jy_gateway/adapter/SharedStore.h"
+#include "jy_gateway/peers/BeatSocket.h"
+#include "jy_gateway/peers/PeerTable.h"
+#include "jy_gateway/registry/Registration.h"
+#include "jy_gateway/registry/StoreSync.h"
+#include "jy_gateway/relay/RequestRelay.h"
+#include "jy_gateway/settings/GatewaySettings.h"
+#include "jy_http/server/HttpServer.h"
+#include "jy_runtime/supervision/Supervisor.h"
+
+#include <memory>
+#include <optional>
+
+namespace jy {
+
+/** The adapter of a platform, as the gateway uses it. */
+struct PlatformAdapter
+{
+    CallerProtocol protocol;
+    std::function<SharedStore(HttpClient &, const Endpoint &)> openStore;
+
+    /** @returns nothing for items that say nothing about the fleet. */
+    std::function<std::optional<FleetChange>(const StoreItem &)> decode;
+
+    std::function<StoreWrite(const RolloutReport &)> encodeRolloutReport;
+};
+
+/** One gateway process: serves callers, tells them addresses, follows the store and its peers. */
+class Gateway
+{
+public:
+    /** Binds all addresses. @returns SettingsInvalid */
+    static Result<std::unique_ptr<Gateway>> create(EventLoop &loop, GatewaySettings settings,
+                                                   std::string settingsFile,
+                                                   PlatformAdapter adapter);
+
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+    ~Gateway();
+
+    /** Serves until SIGTERM or SIGINT, then shuts down gracefully. */
+    Result<void> run();
+
+private:
+    Gateway(EventLoop &loop, GatewaySettings settings, std::string settingsFile,
+            PlatformAdapter adapter);
+
+    Result<void> listen();
+    Result<std::unique_ptr<HttpServer>> serve(const Endpoint &address, HttpHandler handler);
+    void startChildren();
+
+    void answerDirectory(const HttpRequest &request, HttpResponder &responder);
+    void answerReadiness(HttpResponder &responder) const;
+    void answerControl(const HttpRequest &request, HttpResponder &responder);
+
+    void merge(const StoreItem &item);
+    void stateChanged();
+    void storeLost(const Error &error);
+    void storeReturned();
+    void receiveBeat(std::string_view bytes);
+    void sendBeat();
+    void runBeats(StopToken &stop);
+    void runHousekeeping(StopToken &stop);
+    void runPeerCopies(StopToken &stop);
+    void fetchPeerCopy();
+    void applyLimits();
+    void waitForSignals();
+    void reload();
+    void shutDown();
+
+    bool ready() const { return fleet_.config() != nullptr && !stopping_; }
+    double minimumRetryRate() const;
+
+    EventLoop &loop_;
+    GatewaySettings settings_;
+    std::string settingsFile_;
+    PlatformAdapter adapter_;
+    ListedInstance self_;
+    Metrics metrics_;
+
+    std::unique_ptr<HttpClient> storeClient_;
+    std::unique_ptr<HttpClient> serverClient_;
+    SharedStore store_;
+    FleetView fleet_;
+    StoreMirror mirror_;
+    StoreSync sync_;
+    Registration registration_;
+
+    PeerTable peers_;
+    std::unique_ptr<BeatSocket> beats_;
+    std::uint64_t incarnation_;
+    std::uint64_t beatSequence_ = 0;
+
+    LoadTable loads_;
+    ServerHealth health_;
+    ColdAllowance cold_;
+    ServerChooser chooser_;
+    RequestRelay relay_;
+
+    std::unique_ptr<HttpServer> callerServer_;
+    std::unique_ptr<HttpServer> directoryServer_;
+    std::unique_ptr<HttpServer> readinessServer_;
+    std::unique_ptr<HttpServer> controlServer_;
+    std::unique_ptr<HttpServer> metricsServer_;
+    std::unique_ptr<Supervisor> supervisor_;
+    std::uint64_t appliedLimitsVersion_ = 0;
+    bool stopping_ = false;
+};
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -0,0 +1,223 @@
+#include "jy_gateway/assembly/Gateway.h"
+#include "jy_gateway/peers/BeatCodec.h"
+#include "jy_gateway/registry/InstanceEntry.h"
+#include "jy_gateway/registry/StoreCopy.h"
+#include "jy_runtime/logging/Log.h"
+
+#include <algorithm>
+
+namespace jy {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+constexpr milliseconds housekeepingPeriod{250};
+
+// A longer gap between two beats means that this process stood still.
+constexpr milliseconds standstill{1500};
+
+// Time after which an instance without a configuration asks its peers for theirs.
+constexpr milliseconds peerCopyDelay{1000};
+constexpr milliseconds peerCopyTimeout{700};
+
+// Window of the fleet's bound on repeated requests.
+constexpr double retryWindowSeconds = 10;
+
+/** Log line of a change. Configurations and servers decide about requests, so each is logged. */
+struct ChangeLog
+{
+    std::uint64_t revision;
+
+    void operator()(const ConfigWritten &change) const
+    {
+        logEvent(LogLevel::Info, "config-in-force",
+                 {{"version", change.config->version},
+                  {"routes", change.config->routeCount()},
+                  {"keys", change.config->keyCount()},
+                  {"revision", revision}});
+    }
+    void operator()(const ServerWritten &change) const
+    {
+        logEvent(LogLevel::Info, "server-listed",
+                 {{"server", change.server.id},
+                  {"service", change.server.service},
+                  {"version", change.server.version},
+                  {"leaving", change.server.leaving},
+                  {"cold_ms", change.server.coldLeft},
+                  {"revision", revision}});
+    }
+    void operator()(const ServerRemoved &change) const
+    {
+        logEvent(LogLevel::Info, "server-removed",
+                 {{"server", change.id}, {"revision", revision}});
+    }
+    void operator()(const EvacuationWritten &change) const
+    {
+        logEvent(LogLevel::Info, "domain-evacuated",
+                 {{"domain", change.domain}, {"revision", revision}});
+    }
+    void operator()(const EvacuationRemoved &change) const
+    {
+        logEvent(LogLevel::Info, "domain-returned",
+                 {{"domain", change.domain}, {"revision", revision}});
+    }
+    void operator()(const InstanceWritten &change) const
+    {
+        logEvent(LogLevel::Info, "instance-listed",
+                 {{"instance", change.instance.id}, {"revision", revision}});
+    }
+    void operator()(const InstanceRemoved &change) const
+    {
+        logEvent(LogLevel::Info, "instance-removed",
+                 {{"instance", change.id}, {"revision", revision}});
+    }
+    void operator()(const RolloutWritten &change) const
+    {
+        logEvent(LogLevel::Info, "rollout-ordered",
+                 {{"service", change.order.service},
+                  {"target", change.order.target},
+                  {"duration_ms", change.order.duration},
+                  {"revision", revision}});
+    }
+    void operator()(const RolloutRemoved &change) const
+    {
+        logEvent(LogLevel::Info, "rollout-withdrawn",
+                 {{"service", change.service}, {"revision", revision}});
+    }
+    void operator()(const RolloutReportWritten &change) const
+    {
+        logEvent(LogLevel::Info, "rollout-reported",
+                 {{"service", change.report.service},
+                  {"target", change.report.target},
+                  {"state", static_cast<int>(change.report.state)},
+                  {"revision", revision}});
+    }
+};
+
+} // namespace
+
+void Gateway::merge(const StoreItem &item)
+{
+    auto change = decodeInstance(item);
+    if (!change)
+        change = adapter_.decode(item);
+    if (!change)
+        return;
+    std::visit(ChangeLog{item.revision}, *change);
+    fleet_.apply(*change, Clock::now());
+}
+
+void Gateway::stateChanged()
+{
+    peers_.setListed(fleet_.instances(), Clock::now());
+    applyLimits();
+}
+
+void Gateway::storeLost(const Error &error)
+{
+    logEvent(LogLevel::Warn, "store-lost",
+             {{"reason", error.message}, {"revision", mirror_.revision()}});
+}
+
+void Gateway::storeReturned()
+{
+    logEvent(LogLevel::Info, "store-returned", {{"revision", mirror_.revision()}});
+    fleet_.storeReturned(Clock::now());
+}
+
+void Gateway::receiveBeat(std::string_view bytes)
+{
+    const auto beat = decodeBeat(bytes);
+    if (!beat) {
+        logEvent(LogLevel::Warn, "beat-unreadable", {{"reason", beat.error().message}});
+        return;
+    }
+    const auto now = Clock::now();
+    if (peers_.receive(beat.value(), now))
+        loads_.setPeerLoad(beat.value().instance.id, beat.value().loads, now);
+}
+
+void Gateway::sendBeat()
+{
+    InstanceBeat beat{.instance = self_,
+                      .incarnation = incarnation_,
+                      .sequence = ++beatSequence_,
+                      .ready = ready(),
+                      .loads = loads_.own()};
+    const auto bytes = encodeBeat(std::move(beat));
+    for (const auto &destination : peers_.destinations())
+        beats_->send(bytes, destination);
+}
+
+void Gateway::runBeats(StopToken &stop)
+{
+    auto last = Clock::now();
+    while (stop.sleepFor(peers_.period())) {
+        const auto now = Clock::now();
+        if (now - last > peers_.period() + standstill) {
+            logEvent(LogLevel::Warn, "standstill", {{"gap_ms", now - last}});
+            peers_.resetSilences(now);
+        }
+        last = now;
+        sendBeat();
+    }
+}
+
+void Gateway::runHousekeeping(StopToken &stop)
+{
+    while (stop.sleepFor(housekeepingPeriod)) {
+        const auto now = Clock::now();
+        for (const auto &server : fleet_.expire(now)) {
+            health_.forget(server);
+            logEvent(LogLevel::Info, "server-gone",
+                     {{"server", server}, {"reason", "entry did not return"}});
+        }
+        cold_.setInstances(peers_.alive(now));
+        std::set<ServerId> known;
+        for (const auto &[id, state] : fleet_.servers())
+            known.insert(id);
+        cold_.retain(known);
+    }
+}
+
+void Gateway::runPeerCopies(StopToken &stop)
+{
+    while (stop.sleepFor(peerCopyDelay)) {
+        if (!fleet_.config())
+            fetchPeerCopy();
+    }
+}
+
+void Gateway::fetchPeerCopy()
+{
+    for (const auto &seed : settings_.seeds) {
+        if (seed == settings_.listen.control)
+            continue;
+        const auto response = storeClient_->request(
+            seed, {.target = std::string(storeCopyPath)}, peerCopyTimeout);
+        if (!response || response.value().status != 200)
+            continue;
+        const auto items = decodeStoreCopy(response.value().body);
+        if (!items) {
+            logEvent(LogLevel::Warn, "peer-copy-unreadable",
+                     {{"peer", toString(seed)}, {"reason", items.error().message}});
+            continue;
+        }
+        mirror_.applyPeerCopy(items.value());
+        stateChanged();
+        logEvent(LogLevel::Info, "peer-copy-merged",
+                 {{"peer", toString(seed)}, {"items", items.value().size()}});
+        return;
+    }
+}
+
+double Gateway::minimumRetryRate() const
+{
+    const auto instances = static_cast<double>(peers_.alive(Clock::now()).size());
+    // Half, because the views of the instances may differ for a moment.
+    return settings_.bounds.retrySlack / retryWindowSeconds / instances / 2;
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/jy_gateway.h
@@ -0,0 +1,29 @@
+#pragma once
+
+/**
+ * jy_gateway: the request path on a platform with a shared store. Routes by host and path, places
+ * requests on backend servers, relays answers, and keeps the view of the fleet. The platform's
+ * formats come in through the adapter hooks.
+ */
+
+#include "jy_gateway/adapter/CallerProtocol.h"
+#include "jy_gateway/adapter/SharedStore.h"
+#include "jy_gateway/assembly/Gateway.h"
+#include "jy_gateway/limits/ColdAllowance.h"
+#include "jy_gateway/model/FleetChange.h"
+#include "jy_gateway/model/RoutingConfig.h"
+#include "jy_gateway/peers/BeatCodec.h"
+#include "jy_gateway/peers/PeerTable.h"
+#include "jy_gateway/placement/LoadTable.h"
+#include "jy_gateway/placement/ServerChooser.h"
+#include "jy_gateway/placement/ServerHealth.h"
+#include "jy_gateway/registry/FleetView.h"
+#include "jy_gateway/registry/InstanceEntry.h"
+#include "jy_gateway/registry/Registration.h"
+#include "jy_gateway/registry/StoreCopy.h"
+#include "jy_gateway/registry/StoreMirror.h"
+#include "jy_gateway/registry/StoreSync.h"
+#include "jy_gateway/relay/AnswerRules.h"
+#include "jy_gateway/relay/EventSplitter.h"
+#include "jy_gateway/relay/RequestRelay.h"
+#include "jy_gateway/settings/GatewaySettings.h"
--- /dev/null
+++ b/modules/jy_gateway/peers/BeatCodec.cpp
@@ -0,0 +1,62 @@
+#include "jy_gateway/peers/BeatCodec.h"
+
+#include "jy_gateway/peers/generated/beat.pb.h"
+
+#include <algorithm>
+
+namespace jy {
+
+namespace {
+
+// Room that one load entry takes besides the id of the server.
+constexpr std::size_t loadEntryBytes = 12;
+
+// Room for the fields of a beat other than its loads.
+constexpr std::size_t fixedBytes = 240;
+
+} // namespace
+
+std::string encodeBeat(InstanceBeat beat)
+{
+    wire::Beat message;
+    message.set_instance(beat.instance.id.value());
+    message.set_incarnation(beat.incarnation);
+    message.set_sequence(beat.sequence);
+    message.set_caller_endpoint(toString(beat.instance.caller));
+    message.set_peer_endpoint(toString(beat.instance.peer));
+    message.set_domain(beat.instance.domain.value());
+    message.set_ready(beat.ready);
+    std::vector<std::pair<ServerId, int>> loads(beat.loads.begin(), beat.loads.end());
+    std::ranges::sort(loads, std::ranges::greater(), [](const auto &load) { return load.second; });
+    std::size_t used = fixedBytes;
+    for (const auto &[server, count] : loads) {
+        used += server.value().size() + loadEntryBytes;
+        if (used > maxBeatBytes)
+            break;
+        auto *load = message.add_loads();
+        load->set_server(server.value());
+        load->set_in_flight(static_cast<std::uint32_t>(std::max(0, count)));
+    }
+    return message.SerializeAsString();
+}
+
+Result<InstanceBeat> decodeBeat(std::string_view bytes)
+{
+    wire::Beat message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))
+        || message.instance().empty())
+        return failure(ErrorKind::BadRequest, "the datagram is no beat");
+    InstanceBeat beat;
+    beat.instance.id = InstanceId(message.instance());
+    BOOST_OUTCOME_TRY(beat.instance.caller, endpointFromString(message.caller_endpoint()));
+    BOOST_OUTCOME_TRY(beat.instance.peer, endpointFromString(message.peer_endpoint()));
+    beat.instance.domain = DomainId(message.domain());
+    beat.incarnation = message.incarnation();
+    beat.sequence = message.sequence();
+    beat.ready = message.ready();
+    for (const auto &load : message.loads())
+        beat.loads[ServerId(load.server())] = static_cast<int>(load.in_flight());
+    return beat;
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/peers/BeatSocket.cpp
@@ -0,0 +1,87 @@
+#include "jy_gateway/peers/BeatSocket.h"
+
+#include "jy_gateway/peers/BeatCodec.h"
+#include "jy_runtime/fibers/FiberToken.h"
+#include "jy_runtime/logging/Log.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+
+namespace jy {
+
+using boost::asio::ip::udp;
+
+struct BeatSocket::State
+{
+    explicit State(boost::asio::io_context &io)
+        : socket(io)
+    { }
+
+    void receiveLoop();
+
+    udp::socket socket;
+    Handler handler;
+};
+
+void BeatSocket::State::receiveLoop()
+{
+    std::array<char, maxBeatBytes * 2> buffer{};
+    while (socket.is_open()) {
+        udp::endpoint from;
+        boost::system::error_code error;
+        const auto size =
+            socket.async_receive_from(boost::asio::buffer(buffer), from, FiberToken{error});
+        if (!socket.is_open() || error == boost::asio::error::operation_aborted)
+            return;
+        // ICMP errors of earlier sends arrive here; they say nothing about the socket.
+        if (!error)
+            handler({buffer.data(), size});
+    }
+}
+
+Result<std::unique_ptr<BeatSocket>> BeatSocket::create(EventLoop &loop, const Endpoint &endpoint,
+                                                       Handler handler)
+{
+    auto state = std::make_shared<State>(loop.io());
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(endpoint.address, error);
+    const udp::endpoint bound(address, endpoint.port);
+    if (!error)
+        state->socket.open(bound.protocol(), error);
+    if (!error)
+        state->socket.bind(bound, error);
+    if (!error)
+        state->socket.non_blocking(true, error);
+    if (error) {
+        return failure(ErrorKind::SettingsInvalid,
+                       "cannot bind UDP " + toString(endpoint) + ": " + error.message());
+    }
+    state->handler = std::move(handler);
+    EventLoop::spawn([state] { state->receiveLoop(); });
+    return std::unique_ptr<BeatSocket>(new BeatSocket(std::move(state)));
+}
+
+BeatSocket::BeatSocket(std::shared_ptr<State> state)
+    : state_(std::move(state))
+{ }
+
+BeatSocket::~BeatSocket()
+{
+    boost::system::error_code ignored;
+    state_->socket.close(ignored);
+}
+
+void BeatSocket::send(std::string_view bytes, const Endpoint &to)
+{
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(to.address, error);
+    if (!error)
+        state_->socket.send_to(boost::asio::buffer(bytes), udp::endpoint(address, to.port), 0,
+                               error);
+    if (error)
+        logEvent(LogLevel::Debug, "beat-not-sent",
+                 {{"to", toString(to)}, {"reason", error.message()}});
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/peers/PeerTable.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "jy_base/time/TimeTypes.h"
+#include "jy_gateway/model/FleetChange.h"
+#include "jy_gateway/placement/LoadTable.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace jy {
+
+/** What an instance says of itself to the others. */
+struct InstanceBeat
+{
+    ListedInstance instance;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    bool ready = false;
+    LoadByServer loads;
+};
+
+/**
+ * Which other instances live, from their beats and their entries in the store.
+ *
+ * A beat proves life, so an entry that lapses while the store is away removes nobody who is heard.
+ * Silence proves death only while others are heard: an instance that hears nobody is cut off itself
+ * and goes by the entries.
+ */
+class PeerTable
+{
+public:
+    /** Shortest time between two beats of one instance. */
+    static constexpr std::chrono::milliseconds shortestPeriod{500};
+
+    /** Processor time for beats stays constant above this fleet size: the period grows instead. */
+    static constexpr std::chrono::milliseconds periodPerInstance{15};
+
+    /** Silence after which an instance is left out of the directory. */
+    static constexpr std::chrono::milliseconds shortestSilence{2000};
+
+    explicit PeerTable(InstanceId self);
+
+    /** Time between two beats, for the number of known instances. */
+    std::chrono::milliseconds period() const;
+
+    /** @returns false for an old or repeated beat, which is ignored. */
+    bool receive(const InstanceBeat &beat, TimePoint now);
+
+    /** Takes the entries of the store. */
+    void setListed(const std::map<InstanceId, ListedInstance> &listed, TimePoint now);
+
+    /** The clock of this process stood still, or it was cut off: old silences prove nothing. */
+    void resetSilences(TimePoint now);
+
+    /** Addresses that beats are sent to. */
+    std::vector<Endpoint> destinations() const;
+
+    /** Other instances that callers may be sent to. */
+    std::vector<ListedInstance> callable(TimePoint now) const;
+
+    /** Instances that are alive, the own one included. */
+    std::set<InstanceId> alive(TimePoint now) const;
+
+private:
+    struct Peer
+    {
+        ListedInstance instance;
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        bool listed = false;
+        bool ready = true;
+
+        /** Time from which silence counts. */
+        TimePoint heard;
+        bool everHeard = false;
+    };
+
+    std::chrono::milliseconds silenceLimit() const;
+    bool hearsAnyone(TimePoint now) const;
+    bool isAlive(const Peer &peer, TimePoint now) const;
+
+    InstanceId self_;
+    std::map<InstanceId, Peer> peers_;
+};
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/placement/LoadTable.cpp
@@ -0,0 +1,31 @@
+#include "jy_gateway/placement/LoadTable.h"
+
+namespace jy {
+
+void LoadTable::finish(const ServerId &server)
+{
+    const auto found = own_.find(server);
+    if (found != own_.end() && --found->second == 0)
+        own_.erase(found);
+}
+
+void LoadTable::setPeerLoad(const InstanceId &instance, LoadByServer load, TimePoint now)
+{
+    peers_[instance] = {std::move(load), now};
+}
+
+int LoadTable::total(const ServerId &server, TimePoint now) const
+{
+    const auto own = own_.find(server);
+    int sum = own == own_.end() ? 0 : own->second;
+    for (const auto &[instance, peer] : peers_) {
+        if (now - peer.received > maxAge)
+            continue;
+        const auto found = peer.load.find(server);
+        if (found != peer.load.end())
+            sum += found->second;
+    }
+    return sum;
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/placement/ServerChooser.cpp
@@ -0,0 +1,155 @@
+#include "jy_gateway/placement/ServerChooser.h"
+
+#include "jy_base/hashing/StableHash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jy {
+
+namespace {
+
+// Failure rate above that of the other servers of the service that is taken for noise.
+constexpr double ignoredFailureRate = 0.15;
+
+// Requests in flight that a server with only failures seems to have in addition.
+constexpr double penaltyScale = 30;
+
+// Requests that a plain service may queue beyond its slots before it is taken for full.
+constexpr double queuedPerSlot = 2.0;
+
+// Load difference for which a request crosses to another failure domain.
+constexpr double crossingCost = 0.6;
+
+} // namespace
+
+ServerChooser::ServerChooser(const FleetView &fleet, const LoadTable &loads,
+                             const ServerHealth &health, ColdAllowance &cold)
+    : fleet_(fleet)
+    , loads_(loads)
+    , health_(health)
+    , cold_(cold)
+{ }
+
+Placement ServerChooser::choose(const PlacementQuery &query, double draw, TimePoint now)
+{
+    Placement result;
+    auto candidates = usable(query, now, result);
+    if (candidates.empty())
+        return result;
+    auto chosen = query.affinity != 0 ? chooseHome(candidates)
+                                      : chooseLeastLoaded(candidates, query, draw);
+    chosen.candidates = candidates.size();
+    const auto *server = fleet_.findServer(chosen.server);
+    if (server && server->coldUntil > now)
+        cold_.spend(chosen.server, now);
+    return chosen;
+}
+
+std::vector<ServerChooser::Candidate> ServerChooser::usable(const PlacementQuery &query,
+                                                            TimePoint now, Placement &why)
+{
+    const auto listed = fleet_.candidates(query.service);
+    const auto *policy =
+        fleet_.config() ? fleet_.config()->findService(query.service) : nullptr;
+    double rateSum = 0;
+    for (const auto *server : listed)
+        rateSum += health_.failureRate(server->listed.id, now);
+    const double meanRate = listed.empty() ? 0 : rateSum / static_cast<double>(listed.size());
+    std::vector<Candidate> all;
+    std::vector<Candidate> paused;
+    bool coldSpent = false;
+    bool full = false;
+    for (const auto *server : listed) {
+        const auto &id = server->listed.id;
+        if (query.tried.contains(id))
+            continue;
+        Candidate candidate{.server = server, .load = loads_.total(id, now)};
+        candidate.cold = server->coldUntil > now;
+        if (candidate.cold && policy && policy->coldRequestsPerSecond > 0
+            && !cold_.available(id, policy->coldRequestsPerSecond, now)) {
+            coldSpent = true;
+            continue;
+        }
+        if (candidate.load >= server->listed.slots * (1 + queuedPerSlot)) {
+            full = true;
+            continue;
+        }
+        const double excess = health_.failureRate(id, now) - meanRate - ignoredFailureRate;
+        candidate.penalty = std::max(0.0, excess) * penaltyScale;
+        candidate.rank = rendezvousScore(query.affinity, id.value());
+        (health_.paused(id, now) ? paused : all).push_back(candidate);
+    }
+    if (all.empty())
+        all = std::move(paused);
+    if (listed.empty())
+        why.reason = PlacementReason::NoServer;
+    else if (full)
+        why.reason = PlacementReason::AllFull;
+    else
+        why.reason = coldSpent ? PlacementReason::AllCold : PlacementReason::AllTried;
+    return all;
+}
+
+Placement ServerChooser::chooseHome(std::vector<Candidate> &candidates) const
+{
+    std::ranges::sort(candidates, std::ranges::greater(), &Candidate::rank);
+    double sum = 0;
+    for (const auto &candidate : candidates)
+        sum += candidate.load;
+    const double mean = (sum + 1) / static_cast<double>(candidates.size());
+    const double bound = mean * spillFactor + spillSlack;
+    for (const auto &candidate : candidates) {
+        if (candidate.load + candidate.penalty + 1 > bound)
+            continue;
+        const bool first = &candidate == &candidates.front();
+        return {candidate.server->listed.id,
+                first ? PlacementReason::Home : PlacementReason::Spilled, candidate.load};
+    }
+    const auto least = std::ranges::min_element(
+        candidates, {}, [](const Candidate &c) { return c.load + c.penalty; });
+    return {least->server->listed.id, PlacementReason::LeastLoaded, least->load};
+}
+
+Placement ServerChooser::chooseLeastLoaded(const std::vector<Candidate> &candidates,
+                                           const PlacementQuery &query, double draw) const
+{
+    const auto cost = [&](const Candidate &candidate) {
+        const bool crossing = candidate.server->listed.domain != query.domain;
+        return candidate.load + candidate.penalty + (crossing ? crossingCost : 0);
+    };
+    double least = cost(candidates.front());
+    for (const auto &candidate : candidates)
+        least = std::min(least, cost(candidate));
+    std::vector<const Candidate *> equals;
+    for (const auto &candidate : candidates) {
+        if (cost(candidate) <= least)
+            equals.push_back(&candidate);
+    }
+    const auto index = static_cast<std::size_t>(draw * static_cast<double>(equals.size()));
+    const auto &chosen = *equals[std::min(index, equals.size() - 1)];
+    return {chosen.server->listed.id, PlacementReason::LeastLoaded, chosen.load};
+}
+
+std::string_view toString(PlacementReason reason)
+{
+    switch (reason) {
+    case PlacementReason::Home:
+        return "home";
+    case PlacementReason::Spilled:
+        return "spilled";
+    case PlacementReason::LeastLoaded:
+        return "least-loaded";
+    case PlacementReason::NoServer:
+        return "no-server";
+    case PlacementReason::AllTried:
+        return "all-tried";
+    case PlacementReason::AllCold:
+        return "all-cold";
+    case PlacementReason::AllFull:
+        return "all-full";
+    }
+    return "no-server";
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/placement/ServerChooser.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "jy_gateway/limits/ColdAllowance.h"
+#include "jy_gateway/placement/LoadTable.h"
+#include "jy_gateway/placement/ServerHealth.h"
+#include "jy_gateway/registry/FleetView.h"
+
+#include <cstdint>
+#include <set>
+#include <string>
+
+namespace jy {
+
+/** What the choice of a backend server depends on. */
+struct PlacementQuery
+{
+    ServiceId service;
+
+    /** Hash of the shared part of the prompt; 0 for requests without one. */
+    std::uint64_t affinity = 0;
+
+    /** Servers that this request was already sent to. */
+    std::set<ServerId> tried;
+
+    /** Failure domain of this instance, preferred among equals. */
+    DomainId domain;
+};
+
+enum class PlacementReason {
+    Home, /**< the server that caches the shared part of the prompt */
+    Spilled, /**< the home server is too busy */
+    LeastLoaded,
+    NoServer, /**< no server of the service may get requests */
+    AllTried,
+    AllCold, /**< what is left is cold and its allowance is spent */
+    AllFull,
+};
+
+struct Placement
+{
+    /** Empty when no server can take the request now. */
+    ServerId server;
+
+    PlacementReason reason = PlacementReason::NoServer;
+
+    /** Requests in flight at the chosen server before this one. */
+    int load = 0;
+
+    /** Servers that could be chosen from. */
+    std::size_t candidates = 0;
+};
+
+/**
+ * Chooses the backend server of a request.
+ *
+ * Requests with a shared prompt prefix go to the server that ranks first by rendezvous hashing of
+ * that prefix, or to the next one in rank while the load there exceeds a bound near the mean of the
+ * service (consistent hashing with bounded loads), so that a prefix in heavy use spreads over the
+ * same few servers on every instance. Other requests go to the least loaded server. Answers the
+ * load of a few busy prefixes and of servers that fail part of their requests.
+ */
+class ServerChooser
+{
+public:
+    /** Load of a server relative to the mean of its service above which requests spill. */
+    static constexpr double spillFactor = 1.4;
+
+    /** Requests above the relative bound that are accepted, so that small loads do not spill. */
+    static constexpr double spillSlack = 2.0;
+
+    ServerChooser(const FleetView &fleet, const LoadTable &loads, const ServerHealth &health,
+                  ColdAllowance &cold);
+
+    /** @param draw random number for ties, in [0, 1) */
+    Placement choose(const PlacementQuery &query, double draw, TimePoint now);
+
+private:
+    struct Candidate
+    {
+        const ServerState *server = nullptr;
+        int load = 0;
+        double penalty = 0;
+        std::uint64_t rank = 0;
+        bool cold = false;
+    };
+
+    std::vector<Candidate> usable(const PlacementQuery &query, TimePoint now, Placement &why);
+    Placement chooseHome(std::vector<Candidate> &candidates) const;
+    Placement chooseLeastLoaded(const std::vector<Candidate> &candidates,
+                                const PlacementQuery &query, double draw) const;
+
+    const FleetView &fleet_;
+    const LoadTable &loads_;
+    const ServerHealth &health_;
+    ColdAllowance &cold_;
+};
+
+std::string_view toString(PlacementReason reason);
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/registry/InstanceEntry.cpp
@@ -0,0 +1,63 @@
+#include "jy_gateway/registry/InstanceEntry.h"
+
+#include "jy_runtime/logging/Log.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace jy {
+
+namespace {
+
+constexpr std::string_view keyPrefix = "instances/";
+
+std::optional<Endpoint> readEndpoint(const boost::json::object &object, std::string_view name)
+{
+    const auto *value = object.if_contains(name);
+    if (!value || !value->is_string())
+        return std::nullopt;
+    const auto endpoint = endpointFromString(std::string_view(value->get_string()));
+    if (!endpoint)
+        return std::nullopt;
+    return endpoint.value();
+}
+
+} // namespace
+
+std::string instanceKey(const InstanceId &id)
+{
+    return std::string(keyPrefix) + id.value();
+}
+
+std::string encodeInstance(const ListedInstance &instance)
+{
+    return boost::json::serialize(boost::json::object{{"caller", toString(instance.caller)},
+                                                      {"peer", toString(instance.peer)},
+                                                      {"domain", instance.domain.value()}});
+}
+
+std::optional<FleetChange> decodeInstance(const StoreItem &item)
+{
+    if (!item.key.starts_with(keyPrefix))
+        return std::nullopt;
+    const InstanceId id(item.key.substr(keyPrefix.size()));
+    if (item.removed)
+        return InstanceRemoved{id};
+    boost::system::error_code error;
+    const auto value = boost::json::parse(item.value, error);
+    const auto *object = error ? nullptr : value.if_object();
+    const auto caller = object ? readEndpoint(*object, "caller") : std::nullopt;
+    const auto peer = object ? readEndpoint(*object, "peer") : std::nullopt;
+    if (!caller || !peer) {
+        logEvent(LogLevel::Warn, "instance-entry-unreadable",
+                 {{"instance", id}, {"revision", item.revision}});
+        return InstanceRemoved{id};
+    }
+    const auto *domain = object->if_contains("domain");
+    return InstanceWritten{
+        {id, *caller, *peer,
+         DomainId(domain && domain->is_string() ? std::string(domain->get_string()) : "")}};
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/registry/Registration.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "jy_gateway/adapter/SharedStore.h"
+#include "jy_runtime/supervision/StopToken.h"
+
+#include <chrono>
+#include <string>
+
+namespace jy {
+
+struct RegistrationSettings
+{
+    /** Lifetime of the entry without renewal; an instance that dies is gone after this time. */
+    std::chrono::milliseconds lifetime{3000};
+
+    /** Time between two renewals; three may fail before the entry ends. */
+    std::chrono::milliseconds renewal{900};
+
+    std::chrono::milliseconds retryPause{300};
+};
+
+/** Keeps the own entry in the store under a lease, so that other instances find this one. */
+class Registration
+{
+public:
+    Registration(const SharedStore &store, std::string key, std::string value,
+                 RegistrationSettings settings);
+
+    /** Child of the supervisor: registers and renews until a stop is requested. */
+    void run(StopToken &stop);
+
+    /** Removes the entry. Later calls of run() have no effect. */
+    void withdraw();
+
+private:
+    Result<void> enter();
+
+    const SharedStore &store_;
+    std::string key_;
+    std::string value_;
+    RegistrationSettings settings_;
+    std::uint64_t lease_ = 0;
+    bool withdrawn_ = false;
+};
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/registry/StoreMirror.cpp
@@ -0,0 +1,70 @@
+#include "jy_gateway/registry/StoreMirror.h"
+
+#include <algorithm>
+#include <set>
+
+namespace jy {
+
+StoreMirror::StoreMirror(Observer observer)
+    : observer_(std::move(observer))
+{ }
+
+void StoreMirror::applyChanges(const std::vector<StoreItem> &changes, std::uint64_t asOf)
+{
+    for (const auto &change : changes)
+        merge(change);
+    revision_ = std::max(revision_, asOf);
+}
+
+void StoreMirror::applyList(const std::vector<StoreItem> &items, std::uint64_t asOf)
+{
+    std::set<std::string> listed;
+    for (const auto &item : items) {
+        listed.insert(item.key);
+        merge(item);
+    }
+    std::vector<StoreItem> missing;
+    for (const auto &[key, item] : items_) {
+        if (!item.removed && item.revision <= asOf && !listed.contains(key))
+            missing.push_back({key, {}, asOf, true});
+    }
+    for (const auto &item : missing)
+        merge(item);
+    revision_ = std::max(revision_, asOf);
+}
+
+void StoreMirror::applyPeerCopy(const std::vector<StoreItem> &items)
+{
+    for (const auto &item : items)
+        merge(item);
+}
+
+std::vector<StoreItem> StoreMirror::items() const
+{
+    std::vector<StoreItem> current;
+    for (const auto &[key, item] : items_) {
+        if (!item.removed)
+            current.push_back(item);
+    }
+    return current;
+}
+
+const StoreItem *StoreMirror::find(const std::string &key) const
+{
+    const auto found = items_.find(key);
+    return found == items_.end() || found->second.removed ? nullptr : &found->second;
+}
+
+void StoreMirror::merge(const StoreItem &item)
+{
+    auto &known = items_[item.key];
+    // A list repeats unchanged items; a removal may share the revision of the list it came from.
+    if (item.revision < known.revision || (item.revision == known.revision && !item.removed))
+        return;
+    const bool changed = !known.removed || !item.removed;
+    known = item;
+    if (changed)
+        observer_(item);
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/registry/StoreSync.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "jy_gateway/adapter/SharedStore.h"
+#include "jy_gateway/registry/StoreMirror.h"
+#include "jy_runtime/supervision/StopToken.h"
+
+#include <chrono>
+#include <functional>
+
+namespace jy {
+
+struct StoreSyncSettings
+{
+    /**
+     * Longest wait of one watch. Short, because a connection may go silent without an error, and
+     * only the end of a watch shows it.
+     */
+    std::chrono::milliseconds watchWait{1500};
+
+    /** Pause after a failed call; doubles up to the longest one. */
+    std::chrono::milliseconds firstPause{100};
+    std::chrono::milliseconds longestPause{800};
+};
+
+/** Keeps a StoreMirror up to date: one complete list, then a watch from its revision. */
+class StoreSync
+{
+public:
+    struct Hooks
+    {
+        /** The store did not answer. */
+        std::function<void(const Error &)> lost;
+
+        /** The store answers again after lost(). Called before the items that it returned. */
+        std::function<void()> returned;
+
+        /** A list or a change was merged. */
+        std::function<void()> merged;
+    };
+
+    StoreSync(const SharedStore &store, StoreMirror &mirror, StoreSyncSettings settings,
+              Hooks hooks);
+
+    /** Child of the supervisor: runs until a stop is requested. */
+    void run(StopToken &stop);
+
+    /** At least one complete list was merged. */
+    bool listed() const { return listed_; }
+
+private:
+    Result<void> list();
+    Result<void> watch();
+    void noteAnswer();
+
+    const SharedStore &store_;
+    StoreMirror &mirror_;
+    StoreSyncSettings settings_;
+    Hooks hooks_;
+    bool listed_ = false;
+    bool needsList_ = true;
+    bool lost_ = false;
+};
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/relay/AnswerRules.cpp
@@ -0,0 +1,31 @@
+#include "jy_gateway/relay/AnswerRules.h"
+
+#include <algorithm>
+#include <array>
+
+namespace jy {
+
+namespace {
+
+// Callers take these for "not run".
+constexpr std::array promisingStatuses = {408, 421, 429, 503};
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+AnswerVerdict judgeAnswer(int status, const AnswerFacts &facts)
+{
+    if (facts.notRun || facts.otherServer)
+        return AnswerVerdict::NotRun;
+    if (isSuccess(status))
+        return facts.sealed && !facts.reencoded ? AnswerVerdict::Deliver : AnswerVerdict::Unusable;
+    if (std::ranges::find(promisingStatuses, status) != promisingStatuses.end())
+        return AnswerVerdict::Unusable;
+    return status >= 500 ? AnswerVerdict::Failed : AnswerVerdict::Deliver;
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -0,0 +1,348 @@
+#include "jy_gateway/relay/RelayExchange.h"
+
+#include "jy_base/errors/ErrorTable.h"
+#include "jy_base/hashing/StableHash.h"
+#include "jy_gateway/relay/AnswerRules.h"
+#include "jy_runtime/logging/Log.h"
+
+#include <algorithm>
+
+namespace jy {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+// Patience of a caller that states none.
+constexpr milliseconds defaultPatience{30000};
+
+// The first attempt of a repeatable request waits this multiple of the route's target.
+constexpr int attemptTargets = 2;
+constexpr milliseconds shortestAttempt{250};
+
+// Responses above this size are refused; the largest of ordinary services are a few kilobytes.
+constexpr std::size_t maxAnswerBytes = 16 * 1024 * 1024;
+
+// The part of a prompt before the request's own one decides which server has it cached.
+std::uint64_t affinityOf(const std::vector<PromptPart> &prompt)
+{
+    if (prompt.empty())
+        return 0;
+    const auto &shared = prompt.size() > 1 ? prompt[prompt.size() - 2] : prompt.back();
+    return stableHash(shared.id) | 1;
+}
+
+// Time after which a refused caller finds a place, by what was missing.
+milliseconds retryAfter(PlacementReason reason)
+{
+    switch (reason) {
+    case PlacementReason::AllFull:
+        return milliseconds(300);
+    case PlacementReason::AllCold:
+        return milliseconds(400);
+    default:
+        return milliseconds(1000);
+    }
+}
+
+} // namespace
+
+RelayExchange::RelayExchange(RequestRelay &relay, const HttpRequest &request,
+                             HttpResponder &responder, std::shared_ptr<const RoutingConfig> config,
+                             const Route &route, const RequestFacts &facts, WorkspaceId workspace,
+                             int priority, TimePoint start)
+    : relay_(relay)
+    , request_(request)
+    , responder_(responder)
+    , config_(std::move(config))
+    , route_(route)
+    , facts_(facts)
+    , workspace_(std::move(workspace))
+    , priority_(priority)
+    , start_(start)
+    , deadline_(start + std::min(facts.patience.value_or(defaultPatience), route.timeout))
+{
+    query_.service = pickService(route, relay.draw());
+    query_.affinity = route.cachesPrompts ? affinityOf(facts.prompt) : 0;
+    query_.domain = relay.settings_.domain;
+}
+
+RelayOutcome RelayExchange::run()
+{
+    relay_.budgetFor(query_.service).recordAttempt(start_);
+    while (true) {
+        const auto placement =
+            relay_.dependencies_.chooser.choose(query_, relay_.draw(), Clock::now());
+        if (placement.server.empty()) {
+            refuse(placement.reason);
+            break;
+        }
+        const auto step = attempt(placement);
+        if (step == Step::Done)
+            break;
+        if (responder_.callerGone()) {
+            outcome_.reason = "caller-gone";
+            break;
+        }
+        if (!mayTryAgain(step)) {
+            if (serverFailure_ && !responder_.started()) {
+                outcome_.status = serverFailure_->status;
+                outcome_.reason = "server-failure";
+                responder_.send(*serverFailure_);
+            } else {
+                answerError(lastError_);
+            }
+            break;
+        }
+    }
+    return outcome_;
+}
+
+RelayExchange::Step RelayExchange::attempt(const Placement &placement)
+{
+    auto &dependencies = relay_.dependencies_;
+    const auto *server = dependencies.fleet.findServer(placement.server);
+    if (!server)
+        return Step::NotRun;
+    // A copy: the entry may be removed while this fiber is suspended.
+    const auto listed = server->listed;
+    const auto outgoingRequest = outgoing(*server);
+    query_.tried.insert(listed.id);
+    outcome_.server = listed.id;
+    ++outcome_.attempts;
+    logEvent(LogLevel::Debug, "attempt",
+             {{"request", facts_.id},
+              {"server", listed.id},
+              {"reason", toString(placement.reason)},
+              {"load", placement.load},
+              {"candidates", placement.candidates},
+              {"time_left_ms", timeLeft()}});
+    HttpCallOptions options;
+    options.cancellation = responder_.cancellation();
+    options.keepHost = true;
+    options.isOwnResponse = [this](int, const HttpHeaders &headers) {
+        const auto answer = relay_.dependencies_.protocol.describeAnswer(200, headers);
+        return answer.requestId.empty() || answer.requestId == facts_.id.value();
+    };
+    dependencies.loads.start(listed.id);
+    auto opened = dependencies.client.open(listed.endpoint, outgoingRequest, attemptTimeout(),
+                                           options);
+    const auto step = opened ? relayAnswer(*opened.value(), listed.id)
+                             : fail(opened.error(), listed.id);
+    dependencies.loads.finish(listed.id);
+    return step;
+}
+
+HttpRequest RelayExchange::outgoing(const ServerState &server) const
+{
+    ForwardFacts forward;
+    forward.server = server.listed.id;
+    forward.timeLeft =
+        std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(timeLeft()));
+    forward.workspace = workspace_;
+    forward.lastEventId = events_.lastId().empty() ? facts_.lastEventId : events_.lastId();
+    if (route_.cachesPrompts)
+        forward.priority = priority_;
+    HttpRequest copy;
+    copy.method = request_.method;
+    copy.target = request_.target;
+    copy.headers = relay_.dependencies_.protocol.headersForServer(request_.headers, forward);
+    copy.body = request_.body;
+    return copy;
+}
+
+RelayExchange::Step RelayExchange::fail(const Error &error, const ServerId &server)
+{
+    lastError_ = error;
+    switch (error.kind) {
+    case ErrorKind::Cancelled:
+        outcome_.reason = "caller-gone";
+        return Step::Done;
+    case ErrorKind::ConnectFailed:
+        record(server, ServerOutcome::Unreachable);
+        return Step::NotRun;
+    case ErrorKind::DeadlineExceeded:
+        record(server, ServerOutcome::Silent);
+        mayHaveRun_ = true;
+        return Step::MayHaveRun;
+    default:
+        record(server, ServerOutcome::Failed);
+        mayHaveRun_ = true;
+        return Step::MayHaveRun;
+    }
+}
+
+RelayExchange::Step RelayExchange::relayAnswer(HttpStream &stream, const ServerId &server)
+{
+    const auto facts =
+        relay_.dependencies_.protocol.describeAnswer(stream.status(), stream.headers());
+    if (facts.coldLeft)
+        relay_.dependencies_.fleet.serverCold(server, *facts.coldLeft, Clock::now());
+    switch (judgeAnswer(stream.status(), facts)) {
+    case AnswerVerdict::NotRun:
+        lastError_ = {ErrorKind::NoCapacity, "the backend server refused the request",
+                      retryAfter(PlacementReason::AllFull)};
+        record(server, ServerOutcome::Failed);
+        return Step::NotRun;
+    case AnswerVerdict::Unusable:
+        return fail({ErrorKind::BackendBroken, "unusable answer with status "
+                         + std::to_string(stream.status())},
+                    server);
+    case AnswerVerdict::Failed:
+    case AnswerVerdict::Deliver:
+        break;
+    }
+    const bool success = stream.status() / 100 == 2;
+    return success && facts.eventStream ? relayEvents(stream, server)
+                                        : relayPlain(stream, server);
+}
+
+RelayExchange::Step RelayExchange::relayPlain(HttpStream &stream, const ServerId &server)
+{
+    HttpResponse response{stream.status(), stream.headers(), {}};
+    while (true) {
+        auto part =
+            stream.readSome(std::max(milliseconds(1), std::chrono::ceil<milliseconds>(timeLeft())));
+        if (!part)
+            return fail(part.error(), server);
+        if (part.value().empty())
+            break;
+        response.body += part.value();
+        if (response.body.size() > maxAnswerBytes)
+            return fail({ErrorKind::BackendBroken, "the answer is too long"}, server);
+    }
+    const bool failed = response.status >= 500;
+    record(server, failed ? ServerOutcome::Failed : ServerOutcome::Answered);
+    if (failed && route_.repeatable()) {
+        mayHaveRun_ = true;
+        serverFailure_ = std::move(response);
+        lastError_ = {ErrorKind::BackendFailed, "the backend server failed", {}};
+        return Step::MayHaveRun;
+    }
+    outcome_.status = response.status;
+    outcome_.reason = failed ? "server-failure" : "answered";
+    responder_.send(response);
+    return Step::Done;
+}
+
+bool RelayExchange::startAnswer(const HttpStream &stream)
+{
+    if (responder_.started())
+        return true;
+    outcome_.status = stream.status();
+    return responder_.startStream(stream.status(), stream.headers());
+}
+
+RelayExchange::Step RelayExchange::relayEvents(HttpStream &stream, const ServerId &server)
+{
+    mayHaveRun_ = true;
+    while (true) {
+        auto wait = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(timeLeft()));
+        if (isResumable())
+            wait = std::min(wait, relay_.settings_.resumeSilence);
+        auto part = stream.readSome(wait);
+        if (!part) {
+            events_.dropRemainder();
+            return fail(part.error(), server);
+        }
+        if (part.value().empty())
+            break;
+        const auto events = events_.add(part.value());
+        if (events.empty())
+            continue;
+        if (!startAnswer(stream) || !responder_.write(events)) {
+            outcome_.reason = "caller-gone";
+            return Step::Done;
+        }
+    }
+    if (events_.hasRemainder()) {
+        events_.dropRemainder();
+        return fail({ErrorKind::BackendBroken, "the stream ended within an event"}, server);
+    }
+    record(server, ServerOutcome::Answered);
+    if (startAnswer(stream))
+        responder_.endStream();
+    outcome_.reason = "answered";
+    return Step::Done;
+}
+
+bool RelayExchange::mayTryAgain(Step step)
+{
+    const bool repeatable = step == Step::NotRun || isResumable()
+        || (route_.repeatable() && !responder_.started());
+    if (!repeatable || outcome_.attempts >= std::max(1, route_.maxAttempts)
+        || timeLeft() <= milliseconds(1))
+        return false;
+    if (relay_.budgetFor(query_.service).tryRetry(Clock::now()))
+        return true;
+    logEvent(LogLevel::Warn, "retry-budget-spent",
+             {{"request", facts_.id}, {"service", query_.service}});
+    return false;
+}
+
+void RelayExchange::refuse(PlacementReason reason)
+{
+    if (mayHaveRun_ || outcome_.attempts > 0) {
+        if (serverFailure_ && !responder_.started()) {
+            outcome_.status = serverFailure_->status;
+            outcome_.reason = "server-failure";
+            responder_.send(*serverFailure_);
+            return;
+        }
+        answerError(lastError_);
+        return;
+    }
+    const auto kind =
+        reason == PlacementReason::AllCold ? ErrorKind::Cold : ErrorKind::NoCapacity;
+    answerError({kind, std::string(toString(reason)), retryAfter(reason)});
+}
+
+void RelayExchange::answerError(const Error &error)
+{
+    if (outcome_.reason.empty())
+        outcome_.reason = error.message;
+    // The caller sees a stream that breaks off; nothing else may follow its head.
+    if (responder_.started())
+        return;
+    auto answered = error;
+    if (mayHaveRun_) {
+        if (answerFor(error.kind).effect == Effect::NotRun)
+            answered.kind = ErrorKind::BackendBroken;
+        answered.retryAfter = {};
+    } else {
+        answered.kind = ErrorKind::NoCapacity;
+        if (answered.retryAfter.count() == 0)
+            answered.retryAfter = retryAfter(PlacementReason::NoServer);
+    }
+    auto response = errorResponse(answered, facts_.id.value());
+    if (answered.retryAfter.count() > 0)
+        relay_.dependencies_.protocol.setRetryAfter(response.headers, answered.retryAfter);
+    outcome_.status = response.status;
+    responder_.send(response);
+}
+
+void RelayExchange::record(const ServerId &server, ServerOutcome outcome)
+{
+    relay_.dependencies_.health.record(server, outcome, Clock::now());
+}
+
+Duration RelayExchange::timeLeft() const
+{
+    return deadline_ - Clock::now();
+}
+
+milliseconds RelayExchange::attemptTimeout() const
+{
+    const auto left = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(timeLeft()));
+    if (!route_.repeatable() || outcome_.attempts >= route_.maxAttempts)
+        return left;
+    return std::min(left, std::max(shortestAttempt, attemptTargets * route_.latencyTarget));
+}
+
+bool RelayExchange::isResumable() const
+{
+    return route_.kind == RequestKind::Stream && route_.resumable;
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "jy_gateway/relay/EventSplitter.h"
+#include "jy_gateway/relay/RequestRelay.h"
+
+#include <optional>
+
+namespace jy {
+
+/** One request on its way through this instance. Internal to the relay. */
+class RelayExchange
+{
+public:
+    RelayExchange(RequestRelay &relay, const HttpRequest &request, HttpResponder &responder,
+                  std::shared_ptr<const RoutingConfig> config, const Route &route,
+                  const RequestFacts &facts, WorkspaceId workspace, int priority, TimePoint start);
+
+    /** Sends the request until one answer is delivered or none can be. */
+    RelayOutcome run();
+
+private:
+    /** What is known after one attempt. */
+    enum class Step {
+        Done, /**< the caller has its answer or is gone */
+        NotRun, /**< another server may get the request */
+        MayHaveRun, /**< another server may get it if the route allows repetition */
+    };
+
+    Step attempt(const Placement &placement);
+    Step relayAnswer(HttpStream &stream, const ServerId &server);
+    Step relayPlain(HttpStream &stream, const ServerId &server);
+    Step relayEvents(HttpStream &stream, const ServerId &server);
+    Step fail(const Error &error, const ServerId &server);
+    HttpRequest outgoing(const ServerState &server) const;
+    bool startAnswer(const HttpStream &stream);
+
+    bool mayTryAgain(Step step);
+    void refuse(PlacementReason reason);
+    void answerError(const Error &error);
+    void record(const ServerId &server, ServerOutcome outcome);
+
+    Duration timeLeft() const;
+    std::chrono::milliseconds attemptTimeout() const;
+    bool isResumable() const;
+
+    RequestRelay &relay_;
+    const HttpRequest &request_;
+    HttpResponder &responder_;
+    std::shared_ptr<const RoutingConfig> config_;
+    const Route &route_;
+    const RequestFacts &facts_;
+    WorkspaceId workspace_;
+    int priority_;
+    TimePoint start_;
+    TimePoint deadline_;
+    PlacementQuery query_;
+    EventSplitter events_;
+
+    /** A server may have run the request. */
+    bool mayHaveRun_ = false;
+
+    /** A failure that a server gave; delivered if no other server does better. */
+    std::optional<HttpResponse> serverFailure_;
+
+    Error lastError_{ErrorKind::NoCapacity, "no backend server", {}};
+    RelayOutcome outcome_;
+};
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/relay/RequestRelay.cpp
@@ -0,0 +1,93 @@
+#include "jy_gateway/relay/RequestRelay.h"
+
+#include "jy_gateway/relay/RelayExchange.h"
+#include "jy_runtime/logging/Log.h"
+
+namespace jy {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// Time after which an instance that has just started usually knows the configuration.
+constexpr std::chrono::milliseconds startupRetryAfter{500};
+
+} // namespace
+
+RequestRelay::RequestRelay(RelayDependencies dependencies, RelaySettings settings,
+                           std::uint64_t seed)
+    : dependencies_(std::move(dependencies))
+    , settings_(std::move(settings))
+    , random_(seed)
+{ }
+
+void RequestRelay::handle(const HttpRequest &request, HttpResponder &responder)
+{
+    const auto start = Clock::now();
+    const auto facts = dependencies_.protocol.describeRequest(request.headers);
+    const auto config = dependencies_.fleet.config();
+    const Route *route = nullptr;
+    const auto reject = [&](Error error) {
+        auto response = errorResponse(error, facts.id.value());
+        if (error.retryAfter.count() > 0)
+            dependencies_.protocol.setRetryAfter(response.headers, error.retryAfter);
+        responder.send(response);
+        finish(request, facts, route, {response.status, error.message, {}, 0},
+               Clock::now() - start);
+    };
+    if (!config)
+        return reject({ErrorKind::NotReady, "no configuration yet", startupRetryAfter});
+    route = config->findRoute(request.headers.value("Host"), request.path());
+    if (!route)
+        return reject({ErrorKind::UnknownTarget, "no route for this host and path"});
+    WorkspaceId workspace;
+    int priority = route->priority;
+    if (config->hasWorkspaces && !route->open) {
+        const auto *access = config->findKey(facts.credential);
+        if (!access)
+            return reject({ErrorKind::Unauthenticated, "unknown key"});
+        workspace = access->workspace;
+        priority = access->priority.value_or(priority);
+    }
+    RelayExchange exchange(*this, request, responder, config, *route, facts, workspace, priority,
+                           start);
+    const auto outcome = exchange.run();
+    finish(request, facts, route, outcome, Clock::now() - start);
+}
+
+RetryBudget &RequestRelay::budgetFor(const ServiceId &service)
+{
+    auto &budget = budgets_
+                       .try_emplace(service, RetryBudgetSettings{.share = settings_.retryShare})
+                       .first->second;
+    budget.setMinimumPerSecond(dependencies_.minimumRetryRate());
+    return budget;
+}
+
+void RequestRelay::finish(const HttpRequest &request, const RequestFacts &facts,
+                          const Route *route, const RelayOutcome &outcome, Duration duration)
+{
+    const auto kind = route ? toString(route->kind) : std::string_view("none");
+    const MetricLabels labels{{"kind", std::string(kind)},
+                              {"status", std::to_string(outcome.status)}};
+    dependencies_.metrics.counter("jy_requests_total", "Requests by kind and status.", labels)
+        .add();
+    dependencies_.metrics
+        .histogram("jy_request_seconds", "Time from a request to the end of its answer.",
+                   {{"kind", std::string(kind)}})
+        .observe(duration);
+    const auto config = dependencies_.fleet.config();
+    logEvent(LogLevel::Info, "request-done",
+             {{"request", facts.id},
+              {"path", request.path()},
+              {"route", route ? std::string_view(route->name) : std::string_view("none")},
+              {"kind", kind},
+              {"status", outcome.status},
+              {"outcome", outcome.reason},
+              {"server", outcome.server},
+              {"attempts", outcome.attempts},
+              {"config", config ? config->version : 0},
+              {"duration_ms", duration}});
+}
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "jy_core/limits/RetryBudget.h"
+#include "jy_gateway/adapter/CallerProtocol.h"
+#include "jy_gateway/placement/ServerChooser.h"
+#include "jy_http/client/HttpClient.h"
+#include "jy_http/server/HttpResponder.h"
+#include "jy_runtime/metrics/Metrics.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+namespace jy {
+
+/** How a request ended, for its log line and the metrics. */
+struct RelayOutcome
+{
+    int status = 0;
+    std::string reason;
+    ServerId server;
+    int attempts = 0;
+};
+
+struct RelaySettings
+{
+    DomainId domain;
+
+    /** Time to connect to a backend server; a live one on the same network answers in 2 ms. */
+    std::chrono::milliseconds connectTimeout{250};
+
+    /**
+     * Silence of a resumable stream after which it continues elsewhere; half of the shortest gap
+     * after which callers leave (two seconds).
+     */
+    std::chrono::milliseconds resumeSilence{1000};
+
+    /** Share of a service's requests that may be sent again; the fleet's bound is twice this. */
+    double retryShare = 0.1;
+};
+
+/** References must outlive the relay. */
+struct RelayDependencies
+{
+    HttpClient &client;
+    FleetView &fleet;
+    LoadTable &loads;
+    ServerHealth &health;
+    ServerChooser &chooser;
+    const CallerProtocol &protocol;
+    Metrics &metrics;
+
+    /** Requests that this instance may send again each second, whatever the traffic. */
+    std::function<double()> minimumRetryRate;
+};
+
+/**
+ * Serves the requests of callers: finds route and workspace, chooses backend servers, forwards, and
+ * sends the one answer.
+ *
+ * What may be sent again follows from the kind of the route: a request of an unsafe route is sent
+ * to another server only if no byte of it was written or the first server stated that it did not
+ * run.
+ */
+class RequestRelay
+{
+public:
+    RequestRelay(RelayDependencies dependencies, RelaySettings settings, std::uint64_t seed);
+
+    /** Answers one request; runs in the fiber of its connection. */
+    void handle(const HttpRequest &request, HttpResponder &responder);
+
+private:
+    friend class RelayExchange;
+
+    RetryBudget &budgetFor(const ServiceId &service);
+    double draw() { return uniform_(random_); }
+    void finish(const HttpRequest &request, const RequestFacts &facts, const Route *route,
+                const RelayOutcome &outcome, Duration duration);
+
+    RelayDependencies dependencies_;
+    RelaySettings settings_;
+    std::mt19937_64 random_;
+    std::uniform_real_distribution<double> uniform_{0.0, 1.0};
+    std::map<ServiceId, RetryBudget> budgets_;
+};
+
+} // namespace jy
--- /dev/null
+++ b/modules/jy_gateway/settings/GatewaySettings.cpp
@@ -0,0 +1,57 @@
+#include "jy_gateway/settings/GatewaySettings.h"
+
+#include "jy_runtime/settings/Settings.h"
+
+namespace jy {
+
+namespace {
+
+using enum Presence;
+
+} // namespace
+
+void GatewayListenSettings::describe(SettingsVisitor &visitor)
+{
+    visitor.endpoint({"caller", "Requests of callers; TCP.", Required}, caller);
+    visitor.endpoint({"directory", "Questions of callers for addresses; TCP.", Required},
+                     directory);
+    visitor.endpoint({"readiness", "Health checks of the platform; TCP.", Required}, readiness);
+    visitor.endpoint({"control", "Calls of other instances; TCP.", Required}, control);
+    visitor.endpoint({"peer", "Beats between instances; UDP.", Required}, peer);
+    visitor.endpoint({"metrics", "Metrics as text; TCP.", Required}, metrics);
+}
+
+void GatewayBoundSettings::describe(SettingsVisitor &visitor)
+{
+    visitor.count({"graceSeconds", "Time from SIGTERM to the end of the process."}, graceSeconds,
+                  {1, 3600});
+    visitor.count({"retrySlack",
+                   "Requests that the fleet may send again in ten seconds, whatever the traffic."},
+                  retrySlack, {0, 1'000'000});
+    visitor.count({"directoryLifetimeSeconds", "Time for which callers keep addresses."},
+                  directoryLifetimeSeconds, {1, 3600});
+}
+
+void GatewaySettings::describe(SettingsVisitor &visitor)
+{
+    visitor.structure({"instance", "Identity of this instance."}, instance);
+    visitor.structure({"listen", "Addresses of this instance."}, listen);
+    visitor.endpoint({"store", "Address of the shared store.", Required}, store);
+    visitor.endpoints({"seeds", "Control addresses of other instances; may be out of date."}, seeds,
+                      0);
+    visitor.structure({"bounds", "Bounds of the deployment."}, bounds);
+    visitor.choice({"logLevel", "Lines below this level are dropped; reread on SIGHUP."}, logLevel,
+                   {"debug", "info", "warn", "error"});
+}
+
+std::string gatewaySettingsPage()
+{
+    return "# Settings reference of the gateway\n\n"
+           "The settings file of `jygateway` is JSON with `//` and `/* */` comments and trailing "
+           "commas. Unknown keys are errors. `jygateway --check` reports all errors of a file at "
+           "once, and `jygateway --print-settings` prints the effective values. This page is "
+           "generated: `jygateway --reference > docs/operations/gateway-settings.md`.\n\n"
+        + settingsTable<GatewaySettings>();
+}
+
+} // namespace jy
--- a/modules/jy_http/client/ClientExchange.cpp
+++ b/modules/jy_http/client/ClientExchange.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include <array>
+#include <charconv>
 
 namespace jy {
 
@@ -20,6 +21,25 @@
 
 constexpr std::size_t readBytes = 16 * 1024;
 
+// The server closes an idle connection at its timeout; a request sent shortly before would cross it.
+constexpr std::chrono::seconds closingMargin{1};
+
+/** Time for which a connection may be reused by the server's Keep-Alive field, if it states one. */
+std::optional<std::chrono::milliseconds> keepAliveTimeout(const HttpHeaders &headers)
+{
+    constexpr std::string_view parameter = "timeout=";
+    const auto field = headers.value("Keep-Alive");
+    const auto position = field.find(parameter);
+    if (position == std::string_view::npos)
+        return std::nullopt;
+    const auto text = field.substr(position + parameter.size());
+    int seconds = 0;
+    if (std::from_chars(text.data(), text.data() + text.size(), seconds).ec != std::errc())
+        return std::nullopt;
+    const std::chrono::seconds timeout{seconds};
+    return timeout > closingMargin ? timeout - closingMargin : std::chrono::seconds(0);
+}
+
 } // namespace
 
 HttpStream::Impl::Impl(std::weak_ptr<ConnectionPool> pool, Endpoint endpoint,
@@ -28,6 +48,7 @@
     , endpoint_(std::move(endpoint))
     , connection_(std::move(connection))
     , cancellation_(options.cancellation)
+    , isOwnResponse_(options.isOwnResponse)
 {
     if (!cancellation_)
         return;
@@ -83,6 +104,7 @@
     error_code error;
     const auto written = asio::async_write(
         connection_->socket, std::array{asio::buffer(head), asio::buffer(body)}, FiberToken{error});
+    requestSent_ = !error;
     if (!error)
         return success();
     // A server may answer and close without reading the whole request, for example with 413, so a
@@ -99,21 +121,51 @@
 Result<void> HttpStream::Impl::receiveHead(bool head, std::size_t maxHeadBytes, TimePoint deadline)
 {
     const SocketDeadline limit(connection_->socket, deadline, SocketDeadline::Effect::Close);
-    do {
-        parser_.emplace();
-        parser_->header_limit(static_cast<std::uint32_t>(maxHeadBytes));
-        parser_->body_limit(boost::none);
-        parser_->skip(head);
-        error_code error;
-        http::async_read_header(connection_->socket, connection_->buffer, *parser_,
-                                FiberToken{error});
+    while (true) {
+        auto error = readHead(head, maxHeadBytes);
+        if (error)
+            return broken("response of", error, limit.expired());
+        if (status_ / 100 == 1)
+            continue;
+        if (!isOwnResponse_ || isOwnResponse_(status_, headers_))
+            return success();
+        error = skipBody();
         if (error)
             return broken("response of", error, limit.expired());
-    } while (parser_->get().result_int() / 100 == 1);
+    }
+}
+
+error_code HttpStream::Impl::readHead(bool head, std::size_t maxHeadBytes)
+{
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(maxHeadBytes));
+    parser_->body_limit(boost::none);
+    parser_->skip(head);
+    error_code error;
+    http::async_read_header(connection_->socket, connection_->buffer, *parser_, FiberToken{error});
+    if (error)
+        return error;
     status_ = static_cast<int>(parser_->get().result_int());
+    headers_ = {};
     for (const auto &field : parser_->get())
         headers_.add(field.name_string(), field.value());
-    return success();
+    return error;
+}
+
+error_code HttpStream::Impl::skipBody()
+{
+    std::string part(readBytes, '\0');
+    while (!parser_->is_done()) {
+        auto &body = parser_->get().body();
+        body.data = part.data();
+        body.size = part.size();
+        error_code error;
+        http::async_read_some(connection_->socket, connection_->buffer, *parser_,
+                              FiberToken{error});
+        if (error && error != http::error::need_buffer)
+            return error;
+    }
+    return parser_->need_eof() ? http::make_error_code(http::error::end_of_stream) : error_code();
 }
 
 Result<std::string> HttpStream::Impl::readSome(TimePoint deadline)
@@ -150,8 +202,10 @@
     finished_ = true;
     registration_ = {};
     const auto pool = pool_.lock();
-    if (pool && parser_->get().keep_alive() && connection_->socket.is_open())
+    if (pool && requestSent_ && parser_->get().keep_alive() && connection_->socket.is_open()) {
+        connection_->serverIdleTimeout = keepAliveTimeout(headers_);
         pool->keep(endpoint_, std::move(connection_), Clock::now());
+    }
     connection_.reset();
 }
 
--- a/modules/jy_http/client/ClientExchange.h
+++ b/modules/jy_http/client/ClientExchange.h
@@ -37,6 +37,8 @@
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     Error broken(const char *step, boost::system::error_code error, bool expired) const;
+    boost::system::error_code readHead(bool head, std::size_t maxHeadBytes);
+    boost::system::error_code skipBody();
     void finish();
 
     std::weak_ptr<ConnectionPool> pool_;
@@ -47,7 +49,11 @@
     std::optional<Parser> parser_;
     int status_ = 0;
     HttpHeaders headers_;
+    std::function<bool(int status, const HttpHeaders &)> isOwnResponse_;
     bool finished_ = false;
+
+    /** The whole request was written, so the connection may serve another one. */
+    bool requestSent_ = false;
 };
 
 } // namespace jy
--- a/modules/jy_http/client/ConnectionPool.cpp
+++ b/modules/jy_http/client/ConnectionPool.cpp
@@ -2,6 +2,8 @@
 
 #include <poll.h>
 
+#include <algorithm>
+
 namespace jy {
 
 namespace {
@@ -26,7 +28,9 @@
     while (!connections.empty()) {
         auto connection = std::move(connections.back());
         connections.pop_back();
-        if (now - connection->idleSince < settings_.idleTimeout && isQuiet(*connection))
+        const auto timeout = std::min(
+            connection->serverIdleTimeout.value_or(settings_.idleTimeout), settings_.idleTimeout);
+        if (now - connection->idleSince < timeout && isQuiet(*connection))
             return connection;
     }
     return nullptr;
--- a/modules/jy_http/client/ConnectionPool.h
+++ b/modules/jy_http/client/ConnectionPool.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace jy {
@@ -23,6 +24,9 @@
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer;
     TimePoint idleSince;
+
+    /** Longest idle time by the server's word. */
+    std::optional<std::chrono::milliseconds> serverIdleTimeout;
 };
 
 /** Idle connections of an HttpClient, most recently used first. Internal to jy_http. */
--- a/modules/jy_http/client/HttpClient.cpp
+++ b/modules/jy_http/client/HttpClient.cpp
@@ -23,7 +23,10 @@
                                                    const HttpRequest &request, TimePoint deadline,
                                                    const HttpCallOptions &options)
     {
-        BOOST_OUTCOME_TRY(auto head, requestHead(request, toString(endpoint)));
+        const auto address = toString(endpoint);
+        const auto host =
+            options.keepHost ? request.headers.value("Host", address) : std::string_view(address);
+        BOOST_OUTCOME_TRY(auto head, requestHead(request, host));
         const auto now = Clock::now();
         auto connection = options.freshConnection ? nullptr : pool_->take(endpoint, now);
         if (!connection)
--- a/modules/jy_http/client/HttpClient.h
+++ b/modules/jy_http/client/HttpClient.h
@@ -6,6 +6,7 @@
 #include "jy_runtime/fibers/EventLoop.h"
 
 #include <chrono>
+#include <functional>
 #include <memory>
 
 namespace jy {
@@ -35,6 +36,15 @@
 
     /** Abandons the exchange; may be null. */
     std::shared_ptr<Cancellation> cancellation;
+
+    /** Sends the Host field of the request instead of the address of the server. */
+    bool keepHost = false;
+
+    /**
+     * Whether a response belongs to this request; may be empty. Others, such as a late second
+     * response to an earlier request on the connection, are read and dropped.
+     */
+    std::function<bool(int status, const HttpHeaders &)> isOwnResponse;
 };
 
 /**
--- a/modules/jy_http/server/HttpServer.cpp
+++ b/modules/jy_http/server/HttpServer.cpp
@@ -39,6 +39,7 @@
     void acceptLoop();
     std::size_t active() const;
     std::size_t connections() const { return connections_.size(); }
+    void updateLimits(const HttpServerSettings &settings);
     void announceClose();
     std::size_t drain(std::chrono::milliseconds timeout);
     void stop();
@@ -153,6 +154,13 @@
         connections_, [](const auto &connection) { return connection->handling(); }));
 }
 
+void HttpServer::Impl::updateLimits(const HttpServerSettings &settings)
+{
+    const auto listen = settings_.listen;
+    settings_ = settings;
+    settings_.listen = listen;
+}
+
 void HttpServer::Impl::announceClose()
 {
     closing_ = true;
@@ -234,6 +242,11 @@
     return impl_->connections();
 }
 
+void HttpServer::updateLimits(const HttpServerSettings &settings)
+{
+    impl_->updateLimits(settings);
+}
+
 void HttpServer::announceClose()
 {
     impl_->announceClose();
--- a/modules/jy_http/server/HttpServer.h
+++ b/modules/jy_http/server/HttpServer.h
@@ -61,6 +61,9 @@
 
     std::size_t connections() const;
 
+    /** Applies new limits and timeouts, also to open connections; the address does not change. */
+    void updateLimits(const HttpServerSettings &settings);
+
     /**
      * From now on every response asks its caller to close the connection. Called ahead of drain(),
      * it lets callers leave without having a request on its way when the connection closes.
--- a/modules/jy_runtime/logging/Log.cpp
+++ b/modules/jy_runtime/logging/Log.cpp
@@ -103,7 +103,7 @@
     value.assign(buffer.data(), result.ptr);
 }
 
-void setUpLogging(std::string_view process, LogLevel level)
+void setUpLogging(std::string_view process, LogLevel level, LogStream stream)
 {
     std::string prefix;
     appendValue(prefix, process);
@@ -113,7 +113,8 @@
     const auto layout = std::make_shared<log4cxx::PatternLayout>(
         "time=%d{yyyy-MM-ddTHH:mm:ss.SSS}{GMT}Z level=%p process=" + prefix + " %m%n");
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+        layout, stream == LogStream::StandardOutput ? log4cxx::ConsoleAppender::getSystemOut()
+                                                    : log4cxx::ConsoleAppender::getSystemErr());
     logger()->removeAllAppenders();
     logger()->addAppender(appender);
     logger()->setLevel(toLog4cxx(level));
--- a/modules/jy_runtime/logging/Log.h
+++ b/modules/jy_runtime/logging/Log.h
@@ -57,13 +57,19 @@
     { }
 };
 
+enum class LogStream {
+    StandardError,
+    StandardOutput,
+};
+
 /**
- * Sends log lines of this process to the standard error stream.
+ * Sends log lines of this process to a standard stream.
  *
  * @param process value of the "process" field of every line
  * @param level lines below it are dropped
  */
-void setUpLogging(std::string_view process, LogLevel level);
+void setUpLogging(std::string_view process, LogLevel level,
+                  LogStream stream = LogStream::StandardError);
 
 /**
  * Writes one line: time, level, process, event and the fields as key=value pairs.
--- a/modules/jy_runtime/settings/RouterSettings.cpp
+++ b/modules/jy_runtime/settings/RouterSettings.cpp
@@ -184,13 +184,13 @@
                    {"debug", "info", "warn", "error"});
 }
 
-LogLevel RouterSettings::parsedLogLevel() const
+LogLevel logLevelFromName(const std::string &name)
 {
     static const std::map<std::string, LogLevel> levels{{"debug", LogLevel::Debug},
                                                         {"info", LogLevel::Info},
                                                         {"warn", LogLevel::Warn},
                                                         {"error", LogLevel::Error}};
-    return levels.at(logLevel);
+    return levels.at(name);
 }
 
 std::string routerSettingsPage()
--- a/modules/jy_runtime/settings/RouterSettings.h
+++ b/modules/jy_runtime/settings/RouterSettings.h
@@ -142,6 +142,9 @@
     void describe(SettingsVisitor &visitor);
 };
 
+/** @param name one of "debug", "info", "warn" and "error" */
+LogLevel logLevelFromName(const std::string &name);
+
 /** All settings of a router process. */
 struct RouterSettings
 {
@@ -163,7 +166,7 @@
 
     void describe(SettingsVisitor &visitor);
 
-    LogLevel parsedLogLevel() const;
+    LogLevel parsedLogLevel() const { return logLevelFromName(logLevel); }
 };
 
 /** The settings reference, docs/operations/settings.md. */
--- /dev/null
+++ b/programs/jygateway/main.cpp
@@ -0,0 +1,55 @@
+#include "jy_gateway/jy_gateway.h"
+#include "jy_runtime/jy_runtime.h"
+#include "platform/Adapter.h"
+
+#include <absl/flags/flag.h>
+
+#include <iostream>
+
+ABSL_FLAG(bool, reference, false, "print the settings reference as Markdown");
+
+namespace {
+
+using jy::ExitCode;
+
+ExitCode runGateway(const jy::GatewaySettings &settings, const std::string &settingsFile)
+{
+    jy::setUpLogging(settings.instance.id.value(), settings.parsedLogLevel(),
+                     jy::LogStream::StandardOutput);
+    jy::EventLoop loop;
+    auto exitCode = ExitCode::Ok;
+    loop.run([&] {
+        auto gateway =
+            jy::Gateway::create(loop, settings, settingsFile, jy::platform::createAdapter());
+        const auto result = gateway ? gateway.value()->run() : gateway.error();
+        if (!result)
+            exitCode = jy::reportStartError(result.error(), std::cerr);
+        // Other fibers still refer to the gateway; the process ends with them.
+        std::cout.flush();
+        std::_Exit(static_cast<int>(exitCode));
+    });
+    return exitCode;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const jy::ProgramDescription program{
+        .name = "jygateway",
+        .summary = "Serves callers of a platform with a shared store as one of a fleet."};
+    const auto options = jy::parseProgramOptions(argc, argv, program);
+    if (const auto *exitCode = std::get_if<ExitCode>(&options))
+        return static_cast<int>(*exitCode);
+    if (absl::GetFlag(FLAGS_reference)) {
+        std::cout << jy::gatewaySettingsPage();
+        return static_cast<int>(ExitCode::Ok);
+    }
+    const auto &parsed = std::get<jy::ProgramOptions>(options);
+    const auto settings =
+        jy::loadProgramSettings<jy::GatewaySettings>(parsed, std::cout, std::cerr);
+    if (const auto *exitCode = std::get_if<ExitCode>(&settings))
+        return static_cast<int>(*exitCode);
+    return static_cast<int>(runGateway(std::get<jy::GatewaySettings>(settings),
+                                       parsed.settingsFile));
+}
