Hold missing entries for 1.8 s after an outage

Ruled out: a lost watch event; the log shows server-removed at the return. Placement now checks the time itself instead of waiting for the timer.

--- a/modules/jy_gateway/placement/ServerChooser.cpp
+++ b/modules/jy_gateway/placement/ServerChooser.cpp
@@ -49,7 +49,7 @@
 std::vector<ServerChooser::Candidate> ServerChooser::usable(const PlacementQuery &query,
                                                             TimePoint now, Placement &why)
 {
-    const auto listed = fleet_.candidates(query.service);
+    const auto listed = fleet_.candidates(query.service, now);
     const auto *policy =
         fleet_.config() ? fleet_.config()->findService(query.service) : nullptr;
     double rateSum = 0;
--- a/modules/jy_gateway/registry/FleetView.cpp
+++ b/modules/jy_gateway/registry/FleetView.cpp
@@ -35,11 +35,13 @@
     return found == servers_.end() ? nullptr : &found->second;
 }
 
-std::vector<const ServerState *> FleetView::candidates(const ServiceId &service) const
+std::vector<const ServerState *> FleetView::candidates(const ServiceId &service,
+                                                        TimePoint now) const
 {
     std::vector<const ServerState *> result;
     for (const auto &[id, state] : servers_) {
-        if (state.listed.service == service && !state.leaving
+        const bool gone = state.leaving || (state.removalDue && *state.removalDue <= now);
+        if (state.listed.service == service && !gone
             && !evacuated_.contains(state.listed.domain) && versionAllowed(state.listed))
             result.push_back(&state);
     }
--- a/modules/jy_gateway/registry/FleetView.h
+++ b/modules/jy_gateway/registry/FleetView.h
@@ -42,10 +42,11 @@
 {
 public:
     /**
-     * Time after an outage of the store within which the entry of a live backend server may still
-     * be missing. Source: the platform promises the entries back within about two seconds.
+     * Time after an outage of the store was found to be over within which the entry of a live
+     * backend server may still be missing. Source: the platform promises the entries back within
+     * about two seconds of the end of the outage, which is noticed a little later.
      */
-    static constexpr std::chrono::milliseconds reappearanceTime{2300};
+    static constexpr std::chrono::milliseconds reappearanceTime{1800};
 
     void apply(const FleetChange &change, TimePoint now);
 
@@ -65,7 +66,7 @@
     const ServerState *findServer(const ServerId &server) const;
 
     /** Servers of a service that may get new requests, of versions that are allowed now. */
-    std::vector<const ServerState *> candidates(const ServiceId &service) const;
+    std::vector<const ServerState *> candidates(const ServiceId &service, TimePoint now) const;
 
     const std::map<InstanceId, ListedInstance> &instances() const { return instances_; }
     const std::set<DomainId> &evacuated() const { return evacuated_; }
--- a/modules/jy_gateway/registry/StoreSync.h
+++ b/modules/jy_gateway/registry/StoreSync.h
@@ -19,7 +19,7 @@
 
     /** Pause after a failed call; doubles up to the longest one. */
     std::chrono::milliseconds firstPause{100};
-    std::chrono::milliseconds longestPause{800};
+    std::chrono::milliseconds longestPause{400};
 };
 
 /** Keeps a StoreMirror up to date: one complete list, then a watch from its revision. */
