--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -59,9 +59,9 @@
     , self_{settings_.instance.id, settings_.listen.caller, settings_.listen.peer,
             settings_.instance.domain}
     , storeClient_(HttpClient::create(loop, {.connectTimeout = milliseconds(400)}))
-    , serverClient_(HttpClient::create(loop,
-                                       {.connectTimeout = RelaySettings{}.connectTimeout,
-                                        .idleTimeout = serverIdleTimeout}))
+    , serverClient_(HttpClient::create(
+          loop,
+          {.connectTimeout = RelaySettings{}.connectTimeout, .idleTimeout = serverIdleTimeout}))
     , store_(adapter_.openStore(*storeClient_, settings_.store))
     , mirror_([this](const StoreItem &item) { merge(item); })
     , sync_(store_, mirror_, {},
@@ -81,7 +81,7 @@
               .protocol = adapter_.protocol,
               .metrics = metrics_,
               .minimumRetryRate = [this] { return minimumRetryRate(); }},
-             {.domain = settings_.instance.domain}, randomSeed())
+             {}, randomSeed())
 { }
 
 Gateway::~Gateway() = default;
@@ -89,8 +89,8 @@
 Result<std::unique_ptr<Gateway>> Gateway::create(EventLoop &loop, GatewaySettings settings,
                                                  std::string settingsFile, PlatformAdapter adapter)
 {
-    std::unique_ptr<Gateway> gateway(new Gateway(loop, std::move(settings),
-                                                 std::move(settingsFile), std::move(adapter)));
+    std::unique_ptr<Gateway> gateway(
+        new Gateway(loop, std::move(settings), std::move(settingsFile), std::move(adapter)));
     BOOST_OUTCOME_TRYV2(auto &&, gateway->listen());
     return gateway;
 }
@@ -98,18 +98,18 @@
 Result<void> Gateway::listen()
 {
     const auto &listen = settings_.listen;
-    BOOST_OUTCOME_TRY(beats_, BeatSocket::create(loop_, listen.peer, [this](std::string_view bytes) {
-                          receiveBeat(bytes);
-                      }));
+    BOOST_OUTCOME_TRY(beats_,
+                      BeatSocket::create(loop_, listen.peer,
+                                         [this](std::string_view bytes) { receiveBeat(bytes); }));
     BOOST_OUTCOME_TRY(callerServer_,
                       serve(listen.caller, [this](const HttpRequest &request, HttpResponder &out) {
                           relay_.handle(request, out);
                       }));
-    BOOST_OUTCOME_TRY(directoryServer_, serve(listen.directory,
-                                              [this](const HttpRequest &request,
-                                                     HttpResponder &out) {
-                                                  answerDirectory(request, out);
-                                              }));
+    BOOST_OUTCOME_TRY(
+        directoryServer_,
+        serve(listen.directory, [this](const HttpRequest &request, HttpResponder &out) {
+            answerDirectory(request, out);
+        }));
     BOOST_OUTCOME_TRY(readinessServer_,
                       serve(listen.readiness, [this](const HttpRequest &, HttpResponder &out) {
                           answerReadiness(out);
@@ -148,8 +148,8 @@
 void Gateway::startChildren()
 {
     supervisor_->addChild("store-sync", [this](StopToken &stop) { sync_.run(stop); });
-    supervisor_->addChild("registration", [this](StopToken &stop) { registration_.run(stop); },
-                          ChildKind::Transient);
+    supervisor_->addChild(
+        "registration", [this](StopToken &stop) { registration_.run(stop); }, ChildKind::Transient);
     supervisor_->addChild("beats", [this](StopToken &stop) { runBeats(stop); });
     supervisor_->addChild("housekeeping", [this](StopToken &stop) { runHousekeeping(stop); });
     supervisor_->addChild("peer-copies", [this](StopToken &stop) { runPeerCopies(stop); });
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -50,8 +50,7 @@
     }
     void operator()(const ServerRemoved &change) const
     {
-        logEvent(LogLevel::Info, "server-removed",
-                 {{"server", change.id}, {"revision", revision}});
+        logEvent(LogLevel::Info, "server-removed", {{"server", change.id}, {"revision", revision}});
     }
     void operator()(const EvacuationWritten &change) const
     {
@@ -195,8 +194,8 @@
     for (const auto &seed : settings_.seeds) {
         if (seed == settings_.listen.control)
             continue;
-        const auto response = storeClient_->request(
-            seed, {.target = std::string(storeCopyPath)}, peerCopyTimeout);
+        const auto response =
+            storeClient_->request(seed, {.target = std::string(storeCopyPath)}, peerCopyTimeout);
         if (!response || response.value().status != 200)
             continue;
         const auto items = decodeStoreCopy(response.value().body);
--- a/modules/jy_gateway/model/FleetChange.h
+++ b/modules/jy_gateway/model/FleetChange.h
@@ -122,9 +122,8 @@
 };
 
 /** One change of the facts in the shared store. */
-using FleetChange =
-    std::variant<ConfigWritten, ServerWritten, ServerRemoved, EvacuationWritten, EvacuationRemoved,
-                 InstanceWritten, InstanceRemoved, RolloutWritten, RolloutRemoved,
-                 RolloutReportWritten>;
+using FleetChange = std::variant<ConfigWritten, ServerWritten, ServerRemoved, EvacuationWritten,
+                                 EvacuationRemoved, InstanceWritten, InstanceRemoved,
+                                 RolloutWritten, RolloutRemoved, RolloutReportWritten>;
 
 } // namespace jy
--- a/modules/jy_gateway/model/RoutingConfig.cpp
+++ b/modules/jy_gateway/model/RoutingConfig.cpp
@@ -28,9 +28,8 @@
 void RoutingConfig::addRoute(Route route)
 {
     auto &routes = routes_[lowerCase(route.host)];
-    const auto position = std::ranges::find_if(routes, [&](const Route &other) {
-        return other.prefix.size() < route.prefix.size();
-    });
+    const auto position = std::ranges::find_if(
+        routes, [&](const Route &other) { return other.prefix.size() < route.prefix.size(); });
     routes.insert(position, std::move(route));
 }
 
--- a/modules/jy_gateway/placement/LoadTable.cpp
+++ b/modules/jy_gateway/placement/LoadTable.cpp
@@ -14,10 +14,15 @@
     peers_[instance] = {std::move(load), now};
 }
 
+int LoadTable::own(const ServerId &server) const
+{
+    const auto found = own_.find(server);
+    return found == own_.end() ? 0 : found->second;
+}
+
 int LoadTable::total(const ServerId &server, TimePoint now) const
 {
-    const auto own = own_.find(server);
-    int sum = own == own_.end() ? 0 : own->second;
+    int sum = own(server);
     for (const auto &[instance, peer] : peers_) {
         if (now - peer.received > maxAge)
             continue;
--- a/modules/jy_gateway/placement/LoadTable.h
+++ b/modules/jy_gateway/placement/LoadTable.h
@@ -27,6 +27,9 @@
     void setPeerLoad(const InstanceId &instance, LoadByServer load, TimePoint now);
     void forgetPeer(const InstanceId &instance) { peers_.erase(instance); }
 
+    /** Requests in flight at a server from this instance. */
+    int own(const ServerId &server) const;
+
     /** Requests in flight at a server from all instances, as far as known. */
     int total(const ServerId &server, TimePoint now) const;
 
--- a/modules/jy_gateway/placement/ServerChooser.cpp
+++ b/modules/jy_gateway/placement/ServerChooser.cpp
@@ -18,9 +18,6 @@
 // Requests that a plain service may queue beyond its slots before it is taken for full.
 constexpr double queuedPerSlot = 2.0;
 
-// Load difference for which a request crosses to another failure domain.
-constexpr double crossingCost = 0.6;
-
 } // namespace
 
 ServerChooser::ServerChooser(const FleetView &fleet, const LoadTable &loads,
@@ -37,8 +34,8 @@
     auto candidates = usable(query, now, result);
     if (candidates.empty())
         return result;
-    auto chosen = query.affinity != 0 ? chooseHome(candidates)
-                                      : chooseLeastLoaded(candidates, query, draw);
+    auto chosen =
+        query.affinity != 0 ? chooseHome(candidates) : chooseLeastLoaded(candidates, draw);
     chosen.candidates = candidates.size();
     const auto *server = fleet_.findServer(chosen.server);
     if (server && server->coldUntil > now)
@@ -50,8 +47,7 @@
                                                             TimePoint now, Placement &why)
 {
     const auto listed = fleet_.candidates(query.service, now);
-    const auto *policy =
-        fleet_.config() ? fleet_.config()->findService(query.service) : nullptr;
+    const auto *policy = fleet_.config() ? fleet_.config()->findService(query.service) : nullptr;
     double rateSum = 0;
     for (const auto *server : listed)
         rateSum += health_.failureRate(server->listed.id, now);
@@ -64,7 +60,8 @@
         const auto &id = server->listed.id;
         if (query.tried.contains(id))
             continue;
-        Candidate candidate{.server = server, .load = loads_.total(id, now)};
+        Candidate candidate{.server = server};
+        candidate.load = query.affinity != 0 ? loads_.total(id, now) : loads_.own(id);
         candidate.cold = server->coldUntil > now;
         if (candidate.cold && policy && policy->coldRequestsPerSecond > 0
             && !cold_.available(id, policy->coldRequestsPerSecond, now)) {
@@ -111,13 +108,9 @@
     return {least->server->listed.id, PlacementReason::LeastLoaded, least->load};
 }
 
-Placement ServerChooser::chooseLeastLoaded(const std::vector<Candidate> &candidates,
-                                           const PlacementQuery &query, double draw) const
+Placement ServerChooser::chooseLeastLoaded(const std::vector<Candidate> &candidates, double draw)
 {
-    const auto cost = [&](const Candidate &candidate) {
-        const bool crossing = candidate.server->listed.domain != query.domain;
-        return candidate.load + candidate.penalty + (crossing ? crossingCost : 0);
-    };
+    const auto cost = [](const Candidate &candidate) { return candidate.load + candidate.penalty; };
     double least = cost(candidates.front());
     for (const auto &candidate : candidates)
         least = std::min(least, cost(candidate));
--- a/modules/jy_gateway/placement/ServerChooser.h
+++ b/modules/jy_gateway/placement/ServerChooser.h
@@ -21,9 +21,6 @@
 
     /** Servers that this request was already sent to. */
     std::set<ServerId> tried;
-
-    /** Failure domain of this instance, preferred among equals. */
-    DomainId domain;
 };
 
 enum class PlacementReason {
@@ -56,8 +53,11 @@
  * Requests with a shared prompt prefix go to the server that ranks first by rendezvous hashing of
  * that prefix, or to the next one in rank while the load there exceeds a bound near the mean of the
  * service (consistent hashing with bounded loads), so that a prefix in heavy use spreads over the
- * same few servers on every instance. Other requests go to the least loaded server. Answers the
- * load of a few busy prefixes and of servers that fail part of their requests.
+ * same few servers on every instance. Other requests are short, so what other instances reported is
+ * out of date when it arrives, and all instances would choose the same server by it: these requests
+ * go to the server with the fewest own requests in flight, by chance among equals. Answers the load
+ * of a few busy prefixes, of many instances before few servers, and of servers that fail part of
+ * their requests.
  */
 class ServerChooser
 {
@@ -86,8 +86,7 @@
 
     std::vector<Candidate> usable(const PlacementQuery &query, TimePoint now, Placement &why);
     Placement chooseHome(std::vector<Candidate> &candidates) const;
-    Placement chooseLeastLoaded(const std::vector<Candidate> &candidates,
-                                const PlacementQuery &query, double draw) const;
+    static Placement chooseLeastLoaded(const std::vector<Candidate> &candidates, double draw);
 
     const FleetView &fleet_;
     const LoadTable &loads_;
--- a/modules/jy_gateway/registry/FleetView.cpp
+++ b/modules/jy_gateway/registry/FleetView.cpp
@@ -36,13 +36,13 @@
 }
 
 std::vector<const ServerState *> FleetView::candidates(const ServiceId &service,
-                                                        TimePoint now) const
+                                                       TimePoint now) const
 {
     std::vector<const ServerState *> result;
     for (const auto &[id, state] : servers_) {
         const bool gone = state.leaving || (state.removalDue && *state.removalDue <= now);
-        if (state.listed.service == service && !gone
-            && !evacuated_.contains(state.listed.domain) && versionAllowed(state.listed))
+        if (state.listed.service == service && !gone && !evacuated_.contains(state.listed.domain)
+            && versionAllowed(state.listed))
             result.push_back(&state);
     }
     return result;
--- a/modules/jy_gateway/registry/StoreCopy.cpp
+++ b/modules/jy_gateway/registry/StoreCopy.cpp
@@ -33,8 +33,8 @@
         if (!key || !key->is_string() || !revision || !revision->is_number() || !value
             || !value->is_string())
             return failure(ErrorKind::BadRequest, "an item of the copy lacks a field");
-        StoreItem item{std::string(key->get_string()), {}, revision->to_number<std::uint64_t>(),
-                       false};
+        StoreItem item{
+            std::string(key->get_string()), {}, revision->to_number<std::uint64_t>(), false};
         if (!absl::Base64Unescape(std::string(value->get_string()), &item.value))
             return failure(ErrorKind::BadRequest, "a value of the copy is not base64");
         items.push_back(std::move(item));
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -65,7 +65,6 @@
 {
     query_.service = pickService(route, relay.draw());
     query_.affinity = route.cachesPrompts ? affinityOf(facts.prompt) : 0;
-    query_.domain = relay.settings_.domain;
 }
 
 RelayOutcome RelayExchange::run()
@@ -126,10 +125,10 @@
         return answer.requestId.empty() || answer.requestId == facts_.id.value();
     };
     dependencies.loads.start(listed.id);
-    auto opened = dependencies.client.open(listed.endpoint, outgoingRequest, attemptTimeout(),
-                                           options);
-    const auto step = opened ? relayAnswer(*opened.value(), listed.id)
-                             : fail(opened.error(), listed.id);
+    auto opened =
+        dependencies.client.open(listed.endpoint, outgoingRequest, attemptTimeout(), options);
+    const auto step =
+        opened ? relayAnswer(*opened.value(), listed.id) : fail(opened.error(), listed.id);
     dependencies.loads.finish(listed.id);
     return step;
 }
@@ -186,16 +185,15 @@
         record(server, ServerOutcome::Failed);
         return Step::NotRun;
     case AnswerVerdict::Unusable:
-        return fail({ErrorKind::BackendBroken, "unusable answer with status "
-                         + std::to_string(stream.status())},
+        return fail({ErrorKind::BackendBroken,
+                     "unusable answer with status " + std::to_string(stream.status())},
                     server);
     case AnswerVerdict::Failed:
     case AnswerVerdict::Deliver:
         break;
     }
     const bool success = stream.status() / 100 == 2;
-    return success && facts.eventStream ? relayEvents(stream, server)
-                                        : relayPlain(stream, server);
+    return success && facts.eventStream ? relayEvents(stream, server) : relayPlain(stream, server);
 }
 
 RelayExchange::Step RelayExchange::relayPlain(HttpStream &stream, const ServerId &server)
@@ -269,8 +267,8 @@
 
 bool RelayExchange::mayTryAgain(Step step)
 {
-    const bool repeatable = step == Step::NotRun || isResumable()
-        || (route_.repeatable() && !responder_.started());
+    const bool repeatable =
+        step == Step::NotRun || isResumable() || (route_.repeatable() && !responder_.started());
     if (!repeatable || outcome_.attempts >= std::max(1, route_.maxAttempts)
         || timeLeft() <= milliseconds(1))
         return false;
@@ -293,8 +291,7 @@
         answerError(lastError_);
         return;
     }
-    const auto kind =
-        reason == PlacementReason::AllCold ? ErrorKind::Cold : ErrorKind::NoCapacity;
+    const auto kind = reason == PlacementReason::AllCold ? ErrorKind::Cold : ErrorKind::NoCapacity;
     answerError({kind, std::string(toString(reason)), retryAfter(reason)});
 }
 
--- a/modules/jy_gateway/relay/RequestRelay.cpp
+++ b/modules/jy_gateway/relay/RequestRelay.cpp
@@ -57,15 +57,14 @@
 
 RetryBudget &RequestRelay::budgetFor(const ServiceId &service)
 {
-    auto &budget = budgets_
-                       .try_emplace(service, RetryBudgetSettings{.share = settings_.retryShare})
+    auto &budget = budgets_.try_emplace(service, RetryBudgetSettings{.share = settings_.retryShare})
                        .first->second;
     budget.setMinimumPerSecond(dependencies_.minimumRetryRate());
     return budget;
 }
 
-void RequestRelay::finish(const HttpRequest &request, const RequestFacts &facts,
-                          const Route *route, const RelayOutcome &outcome, Duration duration)
+void RequestRelay::finish(const HttpRequest &request, const RequestFacts &facts, const Route *route,
+                          const RelayOutcome &outcome, Duration duration)
 {
     const auto kind = route ? toString(route->kind) : std::string_view("none");
     const MetricLabels labels{{"kind", std::string(kind)},
--- a/modules/jy_gateway/relay/RequestRelay.h
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -25,8 +25,6 @@
 
 struct RelaySettings
 {
-    DomainId domain;
-
     /** Time to connect to a backend server; a live one on the same network answers in 2 ms. */
     std::chrono::milliseconds connectTimeout{250};
 
--- a/modules/jy_http/client/ClientExchange.cpp
+++ b/modules/jy_http/client/ClientExchange.cpp
@@ -21,7 +21,8 @@
 
 constexpr std::size_t readBytes = 16 * 1024;
 
-// The server closes an idle connection at its timeout; a request sent shortly before would cross it.
+// The server closes an idle connection at its timeout; a request sent shortly before would cross
+// it.
 constexpr std::chrono::seconds closingMargin{1};
 
 /** Time for which a connection may be reused by the server's Keep-Alive field, if it states one. */
--- a/modules/jy_http/client/ConnectionPool.cpp
+++ b/modules/jy_http/client/ConnectionPool.cpp
@@ -28,8 +28,8 @@
     while (!connections.empty()) {
         auto connection = std::move(connections.back());
         connections.pop_back();
-        const auto timeout = std::min(
-            connection->serverIdleTimeout.value_or(settings_.idleTimeout), settings_.idleTimeout);
+        const auto timeout = std::min(connection->serverIdleTimeout.value_or(settings_.idleTimeout),
+                                      settings_.idleTimeout);
         if (now - connection->idleSince < timeout && isQuiet(*connection))
             return connection;
     }
--- a/modules/jy_runtime/logging/Log.cpp
+++ b/modules/jy_runtime/logging/Log.cpp
@@ -113,8 +113,9 @@
     const auto layout = std::make_shared<log4cxx::PatternLayout>(
         "time=%d{yyyy-MM-ddTHH:mm:ss.SSS}{GMT}Z level=%p process=" + prefix + " %m%n");
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, stream == LogStream::StandardOutput ? log4cxx::ConsoleAppender::getSystemOut()
-                                                    : log4cxx::ConsoleAppender::getSystemErr());
+        layout,
+        stream == LogStream::StandardOutput ? log4cxx::ConsoleAppender::getSystemOut()
+                                            : log4cxx::ConsoleAppender::getSystemErr());
     logger()->removeAllAppenders();
     logger()->addAppender(appender);
     logger()->setLevel(toLog4cxx(level));
--- a/programs/jygateway/main.cpp
+++ b/programs/jygateway/main.cpp
@@ -50,6 +50,6 @@
         jy::loadProgramSettings<jy::GatewaySettings>(parsed, std::cout, std::cerr);
     if (const auto *exitCode = std::get_if<ExitCode>(&settings))
         return static_cast<int>(*exitCode);
-    return static_cast<int>(runGateway(std::get<jy::GatewaySettings>(settings),
-                                       parsed.settingsFile));
+    return static_cast<int>(
+        runGateway(std::get<jy::GatewaySettings>(settings), parsed.settingsFile));
 }
--- /dev/null
+++ b/tests/jy_gateway/StoreMirrorTest.cpp
@@ -0,0 +1,79 @@
+#include "jy_gateway/registry/StoreMirror.h"
+#include "jy_gateway/registry/InstanceEntry.h"
+
+#include <gtest/gtest.h>
+
+namespace jy::test {
+
+namespace {
+
+struct StoreMirrorTest : testing::Test
+{
+    std::vector<std::string> seen;
+    StoreMirror mirror{[this](const StoreItem &item) {
+        seen.push_back((item.removed ? "-" : "+") + item.key + "@" + std::to_string(item.revision));
+    }};
+};
+
+TEST_F(StoreMirrorTest, ItemsMoveForwardOnly)
+{
+    mirror.applyChanges({{"a", "new", 7, false}}, 7);
+    mirror.applyChanges({{"a", "old", 5, false}}, 7);
+    mirror.applyPeerCopy({{"a", "old", 6, false}});
+    EXPECT_EQ(mirror.find("a")->value, "new");
+    EXPECT_EQ(seen, std::vector<std::string>{"+a@7"});
+}
+
+TEST_F(StoreMirrorTest, ListRemovesWhatIsMissing)
+{
+    mirror.applyList({{"a", "", 1, false}, {"b", "", 2, false}}, 2);
+    mirror.applyList({{"b", "", 2, false}}, 9);
+    EXPECT_EQ(mirror.find("a"), nullptr);
+    EXPECT_NE(mirror.find("b"), nullptr);
+    EXPECT_EQ(mirror.revision(), 9U);
+}
+
+TEST_F(StoreMirrorTest, OldListDoesNotRemoveWhatChangedAfterIt)
+{
+    mirror.applyChanges({{"a", "", 12, false}}, 12);
+    mirror.applyList({}, 9);
+    EXPECT_NE(mirror.find("a"), nullptr);
+    EXPECT_EQ(mirror.revision(), 12U);
+}
+
+TEST_F(StoreMirrorTest, RemovedKeyStaysRemovedForOlderCopies)
+{
+    mirror.applyChanges({{"a", "", 3, false}}, 3);
+    mirror.applyChanges({{"a", "", 8, true}}, 8);
+    mirror.applyPeerCopy({{"a", "", 3, false}});
+    EXPECT_EQ(mirror.find("a"), nullptr);
+    EXPECT_EQ(seen, (std::vector<std::string>{"+a@3", "-a@8"}));
+}
+
+TEST(InstanceEntryTest, RoundTrip)
+{
+    const ListedInstance instance{
+        InstanceId("i1"), {"10.0.0.1", 1}, {"10.0.0.1", 2}, DomainId("a")};
+    const auto change =
+        decodeInstance({instanceKey(instance.id), encodeInstance(instance), 4, false});
+    ASSERT_TRUE(change);
+    EXPECT_EQ(std::get<InstanceWritten>(*change).instance, instance);
+}
+
+struct BrokenEntry : testing::TestWithParam<const char *>
+{ };
+
+TEST_P(BrokenEntry, CountsAsRemoved)
+{
+    const auto change = decodeInstance({instanceKey(InstanceId("i1")), GetParam(), 4, false});
+    ASSERT_TRUE(change);
+    EXPECT_TRUE(std::holds_alternative<InstanceRemoved>(*change));
+}
+
+INSTANTIATE_TEST_SUITE_P(Texts, BrokenEntry,
+                         testing::Values("", "{", "[]", "{}", R"({"caller":1,"peer":2})",
+                                         R"({"caller":"x","peer":"10.0.0.1:2"})"));
+
+} // namespace
+
+} // namespace jy::test
