--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -57,14 +57,16 @@
     , settingsFile_(std::move(settingsFile))
     , adapter_(std::move(adapter))
     , self_{settings_.instance.id, settings_.listen.caller, settings_.listen.peer,
-            settings_.instance.domain}
+            settings_.listen.control, settings_.instance.domain}
     , storeClient_(HttpClient::create(loop, {.connectTimeout = milliseconds(400)}))
     , serverClient_(HttpClient::create(
           loop,
           {.connectTimeout = RelaySettings{}.connectTimeout, .idleTimeout = serverIdleTimeout}))
     , store_(adapter_.openStore(*storeClient_, settings_.store))
+    , reading_(store_, *storeClient_, [this] { return readers(); }, {})
+    , readStore_(reading_.store())
     , mirror_([this](const StoreItem &item) { merge(item); })
-    , sync_(store_, mirror_, {},
+    , sync_(readStore_, mirror_, {},
             {.lost = [this](const Error &error) { storeLost(error); },
              .returned = [this] { storeReturned(); },
              .merged = [this] { stateChanged(); }})
@@ -190,7 +192,9 @@
                        metrics_.prometheusText());
     else if (request.path() == storeCopyPath && fleet_.config())
         responder.send(200, {{"Content-Type", "application/json"}},
-                       encodeStoreCopy(mirror_.items()));
+                       encodeStoreCopy(storeCopy(mirror_.items())));
+    else if (request.path() == storeChangesPath)
+        answerStoreChanges(request, responder);
     else
         responder.send(errorResponse({ErrorKind::UnknownTarget, "no such call"}));
 }
--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -4,6 +4,7 @@
 #include "jy_gateway/adapter/SharedStore.h"
 #include "jy_gateway/peers/BeatSocket.h"
 #include "jy_gateway/peers/PeerTable.h"
+#include "jy_gateway/registry/PeerReading.h"
 #include "jy_gateway/registry/Registration.h"
 #include "jy_gateway/registry/StoreSync.h"
 #include "jy_gateway/relay/RequestRelay.h"
@@ -11,6 +12,9 @@
 #include "jy_http/server/HttpServer.h"
 #include "jy_runtime/supervision/Supervisor.h"
 
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+
 #include <memory>
 #include <optional>
 
@@ -55,6 +59,9 @@
     void answerDirectory(const HttpRequest &request, HttpResponder &responder);
     void answerReadiness(HttpResponder &responder) const;
     void answerControl(const HttpRequest &request, HttpResponder &responder);
+    void answerStoreChanges(const HttpRequest &request, HttpResponder &responder);
+    StoreCopy storeCopy(std::vector<StoreItem> items) const;
+    std::vector<Endpoint> readers() const;
 
     void merge(const StoreItem &item);
     void stateChanged();
@@ -84,6 +91,8 @@
     std::unique_ptr<HttpClient> storeClient_;
     std::unique_ptr<HttpClient> serverClient_;
     SharedStore store_;
+    PeerReading reading_;
+    SharedStore readStore_;
     FleetView fleet_;
     StoreMirror mirror_;
     StoreSync sync_;
@@ -107,6 +116,10 @@
     std::unique_ptr<HttpServer> metricsServer_;
     std::unique_ptr<Supervisor> supervisor_;
     std::uint64_t appliedLimitsVersion_ = 0;
+
+    /** Notified after each change of mirror_, for the instances that read through this one. */
+    boost::fibers::mutex mergedMutex_;
+    boost::fibers::condition_variable merged_;
     bool stopping_ = false;
 };
 
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -4,7 +4,10 @@
 #include "jy_gateway/registry/StoreCopy.h"
 #include "jy_runtime/logging/Log.h"
 
+#include <absl/strings/numbers.h>
+
 #include <algorithm>
+#include <mutex>
 
 namespace jy {
 
@@ -22,6 +25,8 @@
 constexpr milliseconds peerCopyDelay{1000};
 constexpr milliseconds peerCopyTimeout{700};
 
+constexpr milliseconds longestPeerWait{5000};
+
 // Window of the fleet's bound on repeated requests.
 constexpr double retryWindowSeconds = 10;
 
@@ -112,10 +117,67 @@
 {
     peers_.setListed(fleet_.instances(), Clock::now());
     applyLimits();
+    const std::lock_guard lock(mergedMutex_);
+    merged_.notify_all();
+}
+
+std::vector<Endpoint> Gateway::readers() const
+{
+    std::vector<Endpoint> endpoints;
+    const auto now = Clock::now();
+    for (const auto &id : readersFor(self_.id, peers_.alive(now))) {
+        if (const auto *reader = peers_.find(id))
+            endpoints.push_back(reader->control);
+    }
+    return endpoints;
+}
+
+StoreCopy Gateway::storeCopy(std::vector<StoreItem> items) const
+{
+    const auto age = sync_.age(Clock::now());
+    return {{std::move(items), mirror_.revision(), false},
+            std::chrono::duration_cast<milliseconds>(age)};
+}
+
+void Gateway::answerStoreChanges(const HttpRequest &request, HttpResponder &responder)
+{
+    const auto refuse = [&](ErrorKind kind, std::string reason) {
+        responder.send(errorResponse({kind, std::move(reason)}));
+    };
+    std::uint64_t after = 0;
+    std::int64_t wait = 0;
+    if (!absl::SimpleAtoi(request.queryParameter(afterParameter).value_or(""), &after)
+        || !absl::SimpleAtoi(request.queryParameter(waitParameter).value_or(""), &wait)) {
+        refuse(ErrorKind::BadRequest, "a query parameter is missing");
+        return;
+    }
+    const auto deadline = Clock::now() + std::clamp(milliseconds(wait), {}, longestPeerWait);
+    // Only what comes from the store itself is passed on; copies of copies would add up in age.
+    const auto passesOn = [this] { return sync_.inContact() && reading_.readsDirectly(); };
+    {
+        std::unique_lock lock(mergedMutex_);
+        merged_.wait_until(lock, deadline,
+                           [&] { return mirror_.revision() > after || !passesOn(); });
+    }
+    if (!passesOn()) {
+        refuse(ErrorKind::KvUnavailable, "no contact with the store");
+        return;
+    }
+    auto changes = mirror_.changesAfter(after);
+    if (!changes) {
+        responder.send(historyLostStatus, {}, "");
+        return;
+    }
+    responder.send(200, {{"Content-Type", "application/json"}},
+                   encodeStoreCopy(storeCopy(std::move(*changes))));
 }
 
 void Gateway::storeLost(const Error &error)
 {
+    {
+        const std::lock_guard lock(mergedMutex_);
+        merged_.notify_all();
+    }
     logEvent(LogLevel::Warn, "store-lost",
              {{"reason", error.message}, {"revision", mirror_.revision()}});
 }
@@ -198,16 +260,16 @@
             storeClient_->request(seed, {.target = std::string(storeCopyPath)}, peerCopyTimeout);
         if (!response || response.value().status != 200)
             continue;
-        const auto items = decodeStoreCopy(response.value().body);
-        if (!items) {
+        const auto copy = decodeStoreCopy(response.value().body);
+        if (!copy) {
             logEvent(LogLevel::Warn, "peer-copy-unreadable",
-                     {{"peer", toString(seed)}, {"reason", items.error().message}});
+                     {{"peer", toString(seed)}, {"reason", copy.error().message}});
             continue;
         }
-        mirror_.applyPeerCopy(items.value());
+        mirror_.applyPeerCopy(copy.value().page.items);
         stateChanged();
         logEvent(LogLevel::Info, "peer-copy-merged",
-                 {{"peer", toString(seed)}, {"items", items.value().size()}});
+                 {{"peer", toString(seed)}, {"items", copy.value().page.items.size()}});
         return;
     }
 }
--- a/modules/jy_gateway/model/FleetChange.h
+++ b/modules/jy_gateway/model/FleetChange.h
@@ -47,6 +47,9 @@
     /** UDP address of its beats. */
     Endpoint peer;
 
+    /** Where other instances read its copy of the store. */
+    Endpoint control;
+
     DomainId domain;
 
     bool operator==(const ListedInstance &) const = default;
--- a/modules/jy_gateway/peers/PeerTable.cpp
+++ b/modules/jy_gateway/peers/PeerTable.cpp
@@ -85,6 +85,12 @@
     return result;
 }
 
+const ListedInstance *PeerTable::find(const InstanceId &id) const
+{
+    const auto found = peers_.find(id);
+    return found == peers_.end() ? nullptr : &found->second.instance;
+}
+
 std::set<InstanceId> PeerTable::alive(TimePoint now) const
 {
     std::set<InstanceId> result{self_};
--- a/modules/jy_gateway/peers/PeerTable.h
+++ b/modules/jy_gateway/peers/PeerTable.h
@@ -60,6 +60,9 @@
     /** Other instances that callers may be sent to. */
     std::vector<ListedInstance> callable(TimePoint now) const;
 
+    /** @returns null for an unknown instance. */
+    const ListedInstance *find(const InstanceId &id) const;
+
     /** Instances that are alive, the own one included. */
     std::set<InstanceId> alive(TimePoint now) const;
 
--- a/modules/jy_gateway/registry/InstanceEntry.cpp
+++ b/modules/jy_gateway/registry/InstanceEntry.cpp
@@ -34,6 +34,7 @@
 {
     return boost::json::serialize(boost::json::object{{"caller", toString(instance.caller)},
                                                       {"peer", toString(instance.peer)},
+                                                      {"control", toString(instance.control)},
                                                       {"domain", instance.domain.value()}});
 }
 
@@ -49,14 +50,15 @@
     const auto *object = error ? nullptr : value.if_object();
     const auto caller = object ? readEndpoint(*object, "caller") : std::nullopt;
     const auto peer = object ? readEndpoint(*object, "peer") : std::nullopt;
-    if (!caller || !peer) {
+    const auto control = object ? readEndpoint(*object, "control") : std::nullopt;
+    if (!caller || !peer || !control) {
         logEvent(LogLevel::Warn, "instance-entry-unreadable",
                  {{"instance", id}, {"revision", item.revision}});
         return InstanceRemoved{id};
     }
     const auto *domain = object->if_contains("domain");
     return InstanceWritten{
-        {id, *caller, *peer,
+        {id, *caller, *peer, *control,
          DomainId(domain && domain->is_string() ? std::string(domain->get_string()) : "")}};
 }
 
--- /dev/null
+++ b/modules/jy_gateway/registry/PeerReading.cpp
@@ -0,0 +1,110 @@
+#include "jy_gateway/registry/PeerReading.h"
+
+#include "jy_base/hashing/StableHash.h"
+#include "jy_runtime/logging/Log.h"
+
+#include <algorithm>
+
+namespace jy {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Two may fail at the same moment before an instance has to call the store itself.
+constexpr std::size_t readerCount = 3;
+
+std::vector<InstanceId> ranked(std::string_view key, const std::set<InstanceId> &instances)
+{
+    const auto hash = stableHash(key);
+    std::vector<InstanceId> order(instances.begin(), instances.end());
+    std::ranges::sort(order, std::ranges::greater(),
+                      [&](const InstanceId &id) { return rendezvousScore(hash, id.value()); });
+    return order;
+}
+
+} // namespace
+
+std::vector<InstanceId> readersFor(const InstanceId &self, const std::set<InstanceId> &live)
+{
+    auto readers = ranked("store-readers", live);
+    readers.resize(std::min(readers.size(), readerCount));
+    if (std::ranges::find(readers, self) != readers.end())
+        return {};
+    return ranked(self.value(), {readers.begin(), readers.end()});
+}
+
+PeerReading::PeerReading(const SharedStore &direct, HttpClient &client, Readers readers,
+                         PeerReadingSettings settings)
+    : directStore_(direct)
+    , client_(client)
+    , readers_(std::move(readers))
+    , settings_(settings)
+{ }
+
+SharedStore PeerReading::store()
+{
+    auto store = directStore_;
+    store.list = [this](const std::string &prefix, const std::string &after) {
+        return list(prefix, after);
+    };
+    store.watch = [this](const std::string &prefix, std::uint64_t revision, milliseconds wait) {
+        return watch(prefix, revision, wait);
+    };
+    return store;
+}
+
+Result<StorePage> PeerReading::list(const std::string &prefix, const std::string &after)
+{
+    for (const auto &reader : readers_()) {
+        auto page = ask(reader, std::string(storeCopyPath), settings_.margin);
+        if (page) {
+            direct_ = false;
+            return page;
+        }
+    }
+    direct_ = true;
+    return directStore_.list(prefix, after);
+}
+
+Result<StorePage> PeerReading::watch(const std::string &prefix, std::uint64_t revision,
+                                     milliseconds wait)
+{
+    const auto target = std::string(storeChangesPath) + '?' + std::string(afterParameter) + '='
+        + std::to_string(revision) + '&' + std::string(waitParameter) + '='
+        + std::to_string(settings_.wait.count());
+    for (const auto &reader : readers_()) {
+        auto page = ask(reader, target, settings_.wait + settings_.margin);
+        if (page || page.error().kind == ErrorKind::KvHistoryLost) {
+            direct_ = false;
+            return page;
+        }
+    }
+    direct_ = true;
+    return directStore_.watch(prefix, revision, wait);
+}
+
+Result<StorePage> PeerReading::ask(const Endpoint &reader, const std::string &target,
+                                   milliseconds timeout)
+{
+    const auto response = client_.request(reader, {.target = target}, timeout);
+    const auto refuse = [&](const std::string &reason) {
+        logEvent(LogLevel::Info, "reader-passed-over",
+                 {{"reader", toString(reader)}, {"reason", reason}});
+        return failure(ErrorKind::PeerUnreachable, reason);
+    };
+    if (!response)
+        return refuse(response.error().message);
+    if (response.value().status == historyLostStatus)
+        return failure(ErrorKind::KvHistoryLost, "the reader does not keep that history");
+    if (response.value().status != 200)
+        return refuse("status " + std::to_string(response.value().status));
+    auto copy = decodeStoreCopy(response.value().body);
+    if (!copy)
+        return refuse(copy.error().message);
+    if (copy.value().age > settings_.longestAge)
+        return refuse("its copy is " + std::to_string(copy.value().age.count()) + " ms old");
+    return std::move(copy.value().page);
+}
+
+} // namespace jy
--- a/modules/jy_gateway/registry/Registration.h
+++ b/modules/jy_gateway/registry/Registration.h
@@ -11,10 +11,10 @@
 struct RegistrationSettings
 {
     /** Lifetime of the entry without renewal; an instance that dies is gone after this time. */
-    std::chrono::milliseconds lifetime{3000};
+    std::chrono::milliseconds lifetime{4000};
 
-    /** Time between two renewals; three may fail before the entry ends. */
-    std::chrono::milliseconds renewal{900};
+    /** Time between two renewals; two may fail before the entry ends. */
+    std::chrono::milliseconds renewal{1300};
 
     std::chrono::milliseconds retryPause{300};
 };
--- a/modules/jy_gateway/registry/StoreCopy.h
+++ b/modules/jy_gateway/registry/StoreCopy.h
@@ -2,19 +2,38 @@
 
 #include "jy_gateway/adapter/SharedStore.h"
 
+#include <chrono>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace jy {
 
 /** Path at which an instance gives its copy of the store to others. */
 inline constexpr std::string_view storeCopyPath = "/v1/store-copy";
 
-/** JSON form of the items of a StoreMirror, for instances that cannot reach the store. */
-std::string encodeStoreCopy(const std::vector<StoreItem> &items);
+/** Path at which it gives the changes after a revision; waits for the first one. */
+inline constexpr std::string_view storeChangesPath = "/v1/store-changes";
+
+/** Query parameters of that path: a revision, and a time in milliseconds. */
+inline constexpr std::string_view afterParameter = "after";
+inline constexpr std::string_view waitParameter = "wait_ms";
+
+/** Status of an answer when the changes after the revision are not kept. */
+inline constexpr int historyLostStatus = 410;
+
+/** What an instance passes on of the store. */
+struct StoreCopy
+{
+    StorePage page;
+
+    /** Time since the store last answered the instance that gives the copy. */
+    std::chrono::milliseconds age{0};
+};
+
+/** JSON form of a copy. */
+std::string encodeStoreCopy(const StoreCopy &copy);
 
 /** @returns BadRequest for text that is no copy. */
-Result<std::vector<StoreItem>> decodeStoreCopy(std::string_view text);
+Result<StoreCopy> decodeStoreCopy(std::string_view text);
 
 } // namespace jy
--- a/modules/jy_gateway/registry/StoreMirror.cpp
+++ b/modules/jy_gateway/registry/StoreMirror.cpp
@@ -11,8 +11,15 @@
 
 void StoreMirror::applyChanges(const std::vector<StoreItem> &changes, std::uint64_t asOf)
 {
-    for (const auto &change : changes)
-        merge(change);
+    for (const auto &change : changes) {
+        if (!merge(change))
+            continue;
+        history_.push_back(change);
+        if (history_.size() > maxHistory) {
+            historyStart_ = history_.front().revision;
+            history_.pop_front();
+        }
+    }
     revision_ = std::max(revision_, asOf);
 }
 
@@ -31,6 +38,9 @@
     for (const auto &item : missing)
         merge(item);
     revision_ = std::max(revision_, asOf);
+    // A list does not tell in which order its items changed.
+    history_.clear();
+    historyStart_ = revision_;
 }
 
 void StoreMirror::applyPeerCopy(const std::vector<StoreItem> &items)
@@ -39,6 +49,18 @@
         merge(item);
 }
 
+std::optional<std::vector<StoreItem>> StoreMirror::changesAfter(std::uint64_t revision) const
+{
+    if (revision < historyStart_)
+        return std::nullopt;
+    std::vector<StoreItem> changes;
+    for (const auto &item : history_) {
+        if (item.revision > revision)
+            changes.push_back(item);
+    }
+    return changes;
+}
+
 std::vector<StoreItem> StoreMirror::items() const
 {
     std::vector<StoreItem> current;
@@ -55,16 +77,17 @@
     return found == items_.end() || found->second.removed ? nullptr : &found->second;
 }
 
-void StoreMirror::merge(const StoreItem &item)
+bool StoreMirror::merge(const StoreItem &item)
 {
     auto &known = items_[item.key];
     // A list repeats unchanged items; a removal may share the revision of the list it came from.
     if (item.revision < known.revision || (item.revision == known.revision && !item.removed))
-        return;
+        return false;
     const bool changed = !known.removed || !item.removed;
     known = item;
     if (changed)
         observer_(item);
+    return changed;
 }
 
 } // namespace jy
--- a/modules/jy_gateway/registry/StoreMirror.h
+++ b/modules/jy_gateway/registry/StoreMirror.h
@@ -3,8 +3,10 @@
 #include "jy_gateway/adapter/SharedStore.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +41,13 @@
     /** Revision from which changes are to be read; 0 before the first list. */
     std::uint64_t revision() const { return revision_; }
 
+    /**
+     * Items that changed after @p revision, removals included.
+     *
+     * @returns nothing when that part of the history is not kept
+     */
+    std::optional<std::vector<StoreItem>> changesAfter(std::uint64_t revision) const;
+
     /** Current items, without removals. */
     std::vector<StoreItem> items() const;
 
@@ -46,10 +55,18 @@
     const StoreItem *find(const std::string &key) const;
 
 private:
-    void merge(const StoreItem &item);
+    /** @returns whether the item is new here. */
+    bool merge(const StoreItem &item);
+
+    /** Changes that are kept for peers; a slow one reads everything instead. */
+    static constexpr std::size_t maxHistory = 1024;
 
     Observer observer_;
     std::map<std::string, StoreItem> items_;
+
+    /** Changes after historyStart_, in the order of the store. */
+    std::deque<StoreItem> history_;
+    std::uint64_t historyStart_ = 0;
     std::uint64_t revision_ = 0;
 };
 
--- a/modules/jy_gateway/registry/StoreSync.cpp
+++ b/modules/jy_gateway/registry/StoreSync.cpp
@@ -62,7 +62,6 @@
     }
     noteAnswer();
     mirror_.applyList(items, asOf);
-    listed_ = true;
     needsList_ = false;
     hooks_.merged();
     return success();
@@ -79,8 +78,14 @@
     return success();
 }
 
+Duration StoreSync::age(TimePoint now) const
+{
+    return now - answered_;
+}
+
 void StoreSync::noteAnswer()
 {
+    answered_ = std::chrono::steady_clock::now();
     if (!lost_)
         return;
     lost_ = false;
--- a/modules/jy_gateway/registry/StoreSync.h
+++ b/modules/jy_gateway/registry/StoreSync.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jy_base/time/TimeTypes.h"
 #include "jy_gateway/adapter/SharedStore.h"
 #include "jy_gateway/registry/StoreMirror.h"
 #include "jy_runtime/supervision/StopToken.h"
@@ -15,7 +16,7 @@
      * Longest wait of one watch. Short, because a connection may go silent without an error, and
      * only the end of a watch shows it.
      */
-    std::chrono::milliseconds watchWait{1500};
+    std::chrono::milliseconds watchWait{600};
 
     /** Pause after a failed call; doubles up to the longest one. */
     std::chrono::milliseconds firstPause{100};
@@ -44,8 +45,11 @@
     /** Child of the supervisor: runs until a stop is requested. */
     void run(StopToken &stop);
 
-    /** At least one complete list was merged. */
-    bool listed() const { return listed_; }
+    /** Time since the last answer; the longest possible one before the first. */
+    Duration age(TimePoint now) const;
+
+    /** No call has failed since the last answer. */
+    bool inContact() const { return !lost_ && !needsList_; }
 
 private:
     Result<void> list();
@@ -56,8 +60,8 @@
     StoreMirror &mirror_;
     StoreSyncSettings settings_;
     Hooks hooks_;
-    bool listed_ = false;
     bool needsList_ = true;
+    TimePoint answered_;
     bool lost_ = false;
 };
 
