Keep the history of readers across a list; read through the widest links

The store dropped its history, the readers read a complete list and cleared the history that they keep for followers; 29 followers each then read a complete copy (some 80 KB) through one link of 10 Mbit/s. front-cascadia-c-8, a reader, reached nothing for four seconds. Ruled out: the store itself (other readers had the version after 0.4 s) and lost watch events.

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -56,8 +56,9 @@
     , settings_(std::move(settings))
     , settingsFile_(std::move(settingsFile))
     , adapter_(std::move(adapter))
-    , self_{settings_.instance.id, settings_.listen.caller, settings_.listen.peer,
-            settings_.listen.control, settings_.instance.domain}
+    , self_{settings_.instance.id,     settings_.listen.caller,
+            settings_.listen.peer,     settings_.listen.control,
+            settings_.instance.domain, static_cast<int>(settings_.bounds.linkMbps)}
     , storeClient_(HttpClient::create(loop, {.connectTimeout = milliseconds(400)}))
     , serverClient_(HttpClient::create(
           loop,
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -123,12 +123,11 @@
 
 std::vector<Endpoint> Gateway::readers() const
 {
+    auto live = peers_.alive(Clock::now());
+    live.push_back(self_);
     std::vector<Endpoint> endpoints;
-    const auto now = Clock::now();
-    for (const auto &id : readersFor(self_.id, peers_.alive(now))) {
-        if (const auto *reader = peers_.find(id))
-            endpoints.push_back(reader->control);
-    }
+    for (const auto &reader : readersFor(self_.id, live))
+        endpoints.push_back(reader.control);
     return endpoints;
 }
 
@@ -235,7 +234,10 @@
             logEvent(LogLevel::Info, "server-gone",
                      {{"server", server}, {"reason", "entry did not return"}});
         }
-        cold_.setInstances(peers_.alive(now));
+        std::set<InstanceId> live{self_.id};
+        for (const auto &peer : peers_.alive(now))
+            live.insert(peer.id);
+        cold_.setInstances(std::move(live));
         std::set<ServerId> known;
         for (const auto &[id, state] : fleet_.servers())
             known.insert(id);
@@ -276,7 +278,7 @@
 
 double Gateway::minimumRetryRate() const
 {
-    const auto instances = static_cast<double>(peers_.alive(Clock::now()).size());
+    const auto instances = static_cast<double>(peers_.alive(Clock::now()).size() + 1);
     // Half, because the views of the instances may differ for a moment.
     return settings_.bounds.retrySlack / retryWindowSeconds / instances / 2;
 }
--- a/modules/jy_gateway/limits/ColdAllowance.h
+++ b/modules/jy_gateway/limits/ColdAllowance.h
@@ -29,7 +29,7 @@
     explicit ColdAllowance(InstanceId self);
 
     /** Sets the instances among which allowances are divided; includes the own one. */
-    void setInstances(const std::set<InstanceId> &live) { live_ = live; }
+    void setInstances(std::set<InstanceId> live) { live_ = std::move(live); }
 
     /** Whether a request may be sent now. @param ratePerSecond tolerated by the server in all */
     bool available(const ServerId &server, double ratePerSecond, TimePoint now);
--- a/modules/jy_gateway/model/FleetChange.h
+++ b/modules/jy_gateway/model/FleetChange.h
@@ -52,6 +52,9 @@
 
     DomainId domain;
 
+    /** Bandwidth of its link in Mbit/s. */
+    int linkMbps = 0;
+
     bool operator==(const ListedInstance &) const = default;
 };
 
--- a/modules/jy_gateway/peers/BeatCodec.cpp
+++ b/modules/jy_gateway/peers/BeatCodec.cpp
@@ -25,6 +25,7 @@
     message.set_caller_endpoint(toString(beat.instance.caller));
     message.set_peer_endpoint(toString(beat.instance.peer));
     message.set_control_endpoint(toString(beat.instance.control));
+    message.set_link_mbps(static_cast<std::uint32_t>(std::max(0, beat.instance.linkMbps)));
     message.set_domain(beat.instance.domain.value());
     message.set_ready(beat.ready);
     std::vector<std::pair<ServerId, int>> loads(beat.loads.begin(), beat.loads.end());
@@ -52,6 +53,7 @@
     BOOST_OUTCOME_TRY(beat.instance.caller, endpointFromString(message.caller_endpoint()));
     BOOST_OUTCOME_TRY(beat.instance.peer, endpointFromString(message.peer_endpoint()));
     BOOST_OUTCOME_TRY(beat.instance.control, endpointFromString(message.control_endpoint()));
+    beat.instance.linkMbps = static_cast<int>(message.link_mbps());
     beat.instance.domain = DomainId(message.domain());
     beat.incarnation = message.incarnation();
     beat.sequence = message.sequence();
--- a/modules/jy_gateway/peers/PeerTable.cpp
+++ b/modules/jy_gateway/peers/PeerTable.cpp
@@ -85,18 +85,12 @@
     return result;
 }
 
-const ListedInstance *PeerTable::find(const InstanceId &id) const
+std::vector<ListedInstance> PeerTable::alive(TimePoint now) const
 {
-    const auto found = peers_.find(id);
-    return found == peers_.end() ? nullptr : &found->second.instance;
-}
-
-std::set<InstanceId> PeerTable::alive(TimePoint now) const
-{
-    std::set<InstanceId> result{self_};
+    std::vector<ListedInstance> result;
     for (const auto &[id, peer] : peers_) {
         if (isAlive(peer, now))
-            result.insert(id);
+            result.push_back(peer.instance);
     }
     return result;
 }
--- a/modules/jy_gateway/peers/PeerTable.h
+++ b/modules/jy_gateway/peers/PeerTable.h
@@ -6,7 +6,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <vector>
 
 namespace jy {
@@ -60,11 +59,8 @@
     /** Other instances that callers may be sent to. */
     std::vector<ListedInstance> callable(TimePoint now) const;
 
-    /** @returns null for an unknown instance. */
-    const ListedInstance *find(const InstanceId &id) const;
-
-    /** Instances that are alive, the own one included. */
-    std::set<InstanceId> alive(TimePoint now) const;
+    /** Other instances that are alive. */
+    std::vector<ListedInstance> alive(TimePoint now) const;
 
 private:
     struct Peer
--- a/modules/jy_gateway/registry/InstanceEntry.cpp
+++ b/modules/jy_gateway/registry/InstanceEntry.cpp
@@ -35,6 +35,7 @@
     return boost::json::serialize(boost::json::object{{"caller", toString(instance.caller)},
                                                       {"peer", toString(instance.peer)},
                                                       {"control", toString(instance.control)},
+                                                      {"link_mbps", instance.linkMbps},
                                                       {"domain", instance.domain.value()}});
 }
 
@@ -57,9 +58,13 @@
         return InstanceRemoved{id};
     }
     const auto *domain = object->if_contains("domain");
-    return InstanceWritten{
-        {id, *caller, *peer, *control,
-         DomainId(domain && domain->is_string() ? std::string(domain->get_string()) : "")}};
+    const auto *link = object->if_contains("link_mbps");
+    ListedInstance instance{id, *caller, *peer, *control, {}, 0};
+    if (domain && domain->is_string())
+        instance.domain = DomainId(std::string(domain->get_string()));
+    if (link && link->is_int64())
+        instance.linkMbps = static_cast<int>(link->get_int64());
+    return InstanceWritten{std::move(instance)};
 }
 
 } // namespace jy
--- a/modules/jy_gateway/registry/PeerReading.cpp
+++ b/modules/jy_gateway/registry/PeerReading.cpp
@@ -14,24 +14,27 @@
 // Two may fail at the same moment before an instance has to call the store itself.
 constexpr std::size_t readerCount = 3;
 
-std::vector<InstanceId> ranked(std::string_view key, const std::set<InstanceId> &instances)
+void sortByRank(std::string_view key, std::vector<ListedInstance> &instances)
 {
     const auto hash = stableHash(key);
-    std::vector<InstanceId> order(instances.begin(), instances.end());
-    std::ranges::sort(order, std::ranges::greater(),
-                      [&](const InstanceId &id) { return rendezvousScore(hash, id.value()); });
-    return order;
+    std::ranges::sort(instances, std::ranges::greater(), [&](const ListedInstance &instance) {
+        return rendezvousScore(hash, instance.id.value());
+    });
 }
 
 } // namespace
 
-std::vector<InstanceId> readersFor(const InstanceId &self, const std::set<InstanceId> &live)
+std::vector<ListedInstance> readersFor(const InstanceId &self,
+                                       const std::vector<ListedInstance> &live)
 {
-    auto readers = ranked("store-readers", live);
+    auto readers = live;
+    sortByRank("store-readers", readers);
+    std::ranges::stable_sort(readers, std::ranges::greater(), &ListedInstance::linkMbps);
     readers.resize(std::min(readers.size(), readerCount));
-    if (std::ranges::find(readers, self) != readers.end())
+    if (std::ranges::find(readers, self, &ListedInstance::id) != readers.end())
         return {};
-    return ranked(self.value(), {readers.begin(), readers.end()});
+    sortByRank(self.value(), readers);
+    return readers;
 }
 
 PeerReading::PeerReading(const SharedStore &direct, HttpClient &client, Readers readers,
--- a/modules/jy_gateway/registry/PeerReading.h
+++ b/modules/jy_gateway/registry/PeerReading.h
@@ -3,11 +3,11 @@
 #include "jy_base/ids/Ids.h"
 #include "jy_base/net/Endpoint.h"
 #include "jy_gateway/adapter/SharedStore.h"
+#include "jy_gateway/model/FleetChange.h"
 #include "jy_gateway/registry/StoreCopy.h"
 #include "jy_http/client/HttpClient.h"
 
 #include <functional>
-#include <set>
 #include <vector>
 
 namespace jy {
@@ -15,12 +15,15 @@
 /**
  * Instances that read the store themselves, best first for @p self.
  *
- * The readers are those that rank first by rendezvous hashing among the live instances; each other
+ * The readers are those with the widest links among @p live, by rendezvous hashing among equals:
+ * after a gap in the history, a reader sends complete copies to all that follow it. Each other
  * instance prefers another one of them, so that they share the load.
  *
+ * @param live instances that answer, with the own one
  * @returns an empty list when @p self is a reader
  */
-std::vector<InstanceId> readersFor(const InstanceId &self, const std::set<InstanceId> &live);
+std::vector<ListedInstance> readersFor(const InstanceId &self,
+                                       const std::vector<ListedInstance> &live);
 
 struct PeerReadingSettings
 {
--- a/modules/jy_gateway/registry/StoreMirror.cpp
+++ b/modules/jy_gateway/registry/StoreMirror.cpp
@@ -12,13 +12,8 @@
 void StoreMirror::applyChanges(const std::vector<StoreItem> &changes, std::uint64_t asOf)
 {
     for (const auto &change : changes) {
-        if (!merge(change))
-            continue;
-        history_.push_back(change);
-        if (history_.size() > maxHistory) {
-            historyStart_ = history_.front().revision;
-            history_.pop_front();
-        }
+        if (merge(change))
+            remember(change);
     }
     revision_ = std::max(revision_, asOf);
 }
@@ -26,21 +21,37 @@
 void StoreMirror::applyList(const std::vector<StoreItem> &items, std::uint64_t asOf)
 {
     std::set<std::string> listed;
+    std::vector<StoreItem> changes;
     for (const auto &item : items) {
         listed.insert(item.key);
-        merge(item);
+        if (merge(item))
+            changes.push_back(item);
     }
     std::vector<StoreItem> missing;
     for (const auto &[key, item] : items_) {
         if (!item.removed && item.revision <= asOf && !listed.contains(key))
             missing.push_back({key, {}, asOf, true});
     }
-    for (const auto &item : missing)
-        merge(item);
+    for (const auto &item : missing) {
+        if (merge(item))
+            changes.push_back(item);
+    }
+    if (revision_ == 0)
+        historyStart_ = asOf;
+    // Later changes than those already known: the history goes on without a gap.
+    std::ranges::sort(changes, {}, &StoreItem::revision);
+    for (const auto &change : changes)
+        remember(change);
     revision_ = std::max(revision_, asOf);
-    // A list does not tell in which order its items changed.
-    history_.clear();
-    historyStart_ = revision_;
+}
+
+void StoreMirror::remember(const StoreItem &change)
+{
+    history_.push_back(change);
+    if (history_.size() <= maxHistory)
+        return;
+    historyStart_ = std::max(historyStart_, history_.front().revision);
+    history_.pop_front();
 }
 
 void StoreMirror::applyPeerCopy(const std::vector<StoreItem> &items)
--- a/modules/jy_gateway/registry/StoreMirror.h
+++ b/modules/jy_gateway/registry/StoreMirror.h
@@ -57,6 +57,7 @@
 private:
     /** @returns whether the item is new here. */
     bool merge(const StoreItem &item);
+    void remember(const StoreItem &change);
 
     /** Changes that are kept for peers; a slow one reads everything instead. */
     static constexpr std::size_t maxHistory = 1024;
--- a/modules/jy_gateway/relay/RequestRelay.cpp
+++ b/modules/jy_gateway/relay/RequestRelay.cpp
@@ -17,7 +17,7 @@
 RequestRelay::RequestRelay(RelayDependencies dependencies, RelaySettings settings,
                            std::uint64_t seed)
     : dependencies_(std::move(dependencies))
-    , settings_(std::move(settings))
+    , settings_(settings)
     , random_(seed)
 { }
 
@@ -27,7 +27,7 @@
     const auto facts = dependencies_.protocol.describeRequest(request.headers);
     const auto config = dependencies_.fleet.config();
     const Route *route = nullptr;
-    const auto reject = [&](Error error) {
+    const auto reject = [&](const Error &error) {
         auto response = errorResponse(error, facts.id.value());
         if (error.retryAfter.count() > 0)
             dependencies_.protocol.setRetryAfter(response.headers, error.retryAfter);
--- a/modules/jy_gateway/settings/GatewaySettings.cpp
+++ b/modules/jy_gateway/settings/GatewaySettings.cpp
@@ -30,6 +30,11 @@
                   retrySlack, {0, 1'000'000});
     visitor.count({"directoryLifetimeSeconds", "Time for which callers keep addresses."},
                   directoryLifetimeSeconds, {1, 3600});
+    visitor.number(
+        {"linkMbps",
+         "Bandwidth of the link in Mbit/s; instances with the widest links read the store "
+         "for the others."},
+        linkMbps, {0.001, 1e6});
 }
 
 void GatewaySettings::describe(SettingsVisitor &visitor)
--- a/modules/jy_gateway/settings/GatewaySettings.h
+++ b/modules/jy_gateway/settings/GatewaySettings.h
@@ -29,6 +29,9 @@
     /** Longest time for which callers keep an answer of the directory. */
     int directoryLifetimeSeconds = 2;
 
+    /** Bandwidth of the link of this instance, in Mbit/s. */
+    double linkMbps = 1000;
+
     void describe(SettingsVisitor &visitor);
 };
 
--- a/tests/jy_gateway/PeerTableTest.cpp
+++ b/tests/jy_gateway/PeerTableTest.cpp
@@ -15,7 +15,7 @@
 
 ListedInstance instance(const std::string &id)
 {
-    return {InstanceId(id), {"10.0.0.1", 1}, {"10.0.0.1", 2}, {"10.0.0.1", 3}, DomainId("a")};
+    return {InstanceId(id), {"10.0.0.1", 1}, {"10.0.0.1", 2}, {"10.0.0.1", 3}, DomainId("a"), 10};
 }
 
 InstanceBeat beat(const std::string &id, std::uint64_t sequence, bool ready = true)
--- a/tests/jy_gateway/StoreMirrorTest.cpp
+++ b/tests/jy_gateway/StoreMirrorTest.cpp
@@ -50,10 +50,35 @@
     EXPECT_EQ(seen, (std::vector<std::string>{"+a@3", "-a@8"}));
 }
 
+// After the store had dropped its history, readers gave complete copies to all that followed them;
+// the links of the readers were full for seconds and no change passed.
+TEST_F(StoreMirrorTest, HistoryForPeersGoesOnAcrossAList)
+{
+    mirror.applyList({{"a", "", 1, false}, {"b", "", 2, false}}, 2);
+    mirror.applyChanges({{"c", "", 3, false}}, 3);
+    mirror.applyList({{"b", "new", 5, false}, {"c", "", 3, false}}, 6);
+    const auto changes = mirror.changesAfter(2);
+    ASSERT_TRUE(changes);
+    std::vector<std::string> keys;
+    for (const auto &change : *changes)
+        keys.push_back((change.removed ? "-" : "+") + change.key);
+    EXPECT_EQ(keys, (std::vector<std::string>{"+c", "+b", "-a"}));
+    EXPECT_FALSE(mirror.changesAfter(1));
+}
+
+TEST_F(StoreMirrorTest, HistoryForPeersIsBounded)
+{
+    mirror.applyList({}, 1);
+    for (std::uint64_t revision = 2; revision < 3000; ++revision)
+        mirror.applyChanges({{"a", "", revision, false}}, revision);
+    EXPECT_FALSE(mirror.changesAfter(1));
+    EXPECT_EQ(mirror.changesAfter(2990)->size(), 9U);
+}
+
 TEST(InstanceEntryTest, RoundTrip)
 {
     const ListedInstance instance{InstanceId("i1"), {"10.0.0.1", 1}, {"10.0.0.1", 2},
-                                  {"10.0.0.1", 3}, DomainId("a")};
+                                  {"10.0.0.1", 3},  DomainId("a"),   200};
     const auto change =
         decodeInstance({instanceKey(instance.id), encodeInstance(instance), 4, false});
     ASSERT_TRUE(change);
