--- a/modules/jy_gateway/placement/ServerChooser.h
+++ b/modules/jy_gateway/placement/ServerChooser.h
@@ -63,10 +63,10 @@
 {
 public:
     /** Load of a server relative to the mean of its service above which requests spill. */
-    static constexpr double spillFactor = 1.4;
+    static constexpr double spillFactor = 1.7;
 
     /** Requests above the relative bound that are accepted, so that small loads do not spill. */
-    static constexpr double spillSlack = 2.0;
+    static constexpr double spillSlack = 2.5;
 
     ServerChooser(const FleetView &fleet, const LoadTable &loads, const ServerHealth &health,
                   ColdAllowance &cold);
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -74,6 +74,7 @@
         const auto placement =
             relay_.dependencies_.chooser.choose(query_, relay_.draw(), Clock::now());
         if (placement.server.empty()) {
+            outcome_.placement = placement.reason;
             refuse(placement.reason);
             break;
         }
@@ -109,6 +110,8 @@
     const auto outgoingRequest = outgoing(*server);
     query_.tried.insert(listed.id);
     outcome_.server = listed.id;
+    outcome_.placement = placement.reason;
+    outcome_.load = placement.load;
     ++outcome_.attempts;
     logEvent(LogLevel::Debug, "attempt",
              {{"request", facts_.id},
--- a/modules/jy_gateway/relay/RequestRelay.cpp
+++ b/modules/jy_gateway/relay/RequestRelay.cpp
@@ -85,6 +85,8 @@
               {"outcome", outcome.reason},
               {"server", outcome.server},
               {"attempts", outcome.attempts},
+              {"placement", toString(outcome.placement)},
+              {"load", outcome.load},
               {"config", config ? config->version : 0},
               {"duration_ms", duration}});
 }
--- a/modules/jy_gateway/relay/RequestRelay.h
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -21,6 +21,10 @@
     std::string reason;
     ServerId server;
     int attempts = 0;
+
+    /** Why the last server was chosen, and what was in flight there. */
+    PlacementReason placement = PlacementReason::NoServer;
+    int load = 0;
 };
 
 struct RelaySettings
