Count only what was sent as an attempt

Besides, an instance without a configuration told callers to return after 0.5 s while the store was away for seconds. Ruled out: the retry budget (no retry-budget-spent line).

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -31,6 +31,11 @@
 
 constexpr std::size_t maxConnections = 3000;
 
+// An instance that has just started reads the configuration within this time; outages of the store
+// last for seconds.
+constexpr milliseconds startupRetryAfter{500};
+constexpr milliseconds storeOutageRetryAfter{2000};
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -83,6 +88,8 @@
               .chooser = chooser_,
               .protocol = adapter_.protocol,
               .metrics = metrics_,
+              .readyAfter =
+                  [this] { return sync_.lost() ? storeOutageRetryAfter : startupRetryAfter; },
               .minimumRetryRate = [this] { return minimumRetryRate(); }},
              {}, randomSeed())
 { }
--- a/modules/jy_gateway/registry/StoreSync.h
+++ b/modules/jy_gateway/registry/StoreSync.h
@@ -48,6 +48,9 @@
     /** Time since the last answer; the longest possible one before the first. */
     Duration age(TimePoint now) const;
 
+    /** The last call failed. */
+    bool lost() const { return lost_; }
+
     /** No call has failed since the last answer. */
     bool inContact() const { return !lost_ && !needsList_; }
 
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -21,6 +21,9 @@
 constexpr int attemptTargets = 2;
 constexpr milliseconds shortestAttempt{250};
 
+// Servers that one request may fail to connect to.
+constexpr int maxConnects = 4;
+
 // Responses above this size are refused; the largest of ordinary services are a few kilobytes.
 constexpr std::size_t maxAnswerBytes = 16 * 1024 * 1024;
 
@@ -86,13 +89,7 @@
             break;
         }
         if (!mayTryAgain(step)) {
-            if (serverFailure_ && !responder_.started()) {
-                outcome_.status = serverFailure_->status;
-                outcome_.reason = "server-failure";
-                responder_.send(*serverFailure_);
-            } else {
-                answerError(lastError_);
-            }
+            giveUp();
             break;
         }
     }
@@ -130,6 +127,8 @@
     dependencies.loads.start(listed.id);
     auto opened =
         dependencies.client.open(listed.endpoint, outgoingRequest, attemptTimeout(), options);
+    if (opened || opened.error().kind != ErrorKind::ConnectFailed)
+        ++sentTo_;
     const auto step =
         opened ? relayAnswer(*opened.value(), listed.id) : fail(opened.error(), listed.id);
     dependencies.loads.finish(listed.id);
@@ -163,7 +162,7 @@
         return Step::Done;
     case ErrorKind::ConnectFailed:
         record(server, ServerOutcome::Unreachable);
-        return Step::NotRun;
+        return Step::NotSent;
     case ErrorKind::DeadlineExceeded:
         record(server, ServerOutcome::Silent);
         mayHaveRun_ = true;
@@ -270,10 +269,13 @@
 
 bool RelayExchange::mayTryAgain(Step step)
 {
+    if (timeLeft() <= milliseconds(1) || outcome_.attempts >= maxConnects)
+        return false;
+    if (step == Step::NotSent)
+        return true;
     const bool repeatable =
         step == Step::NotRun || isResumable() || (route_.repeatable() && !responder_.started());
-    if (!repeatable || outcome_.attempts >= std::max(1, route_.maxAttempts)
-        || timeLeft() <= milliseconds(1))
+    if (!repeatable || sentTo_ >= std::max(1, route_.maxAttempts))
         return false;
     if (relay_.budgetFor(query_.service).tryRetry(Clock::now()))
         return true;
@@ -284,20 +286,25 @@
 
 void RelayExchange::refuse(PlacementReason reason)
 {
-    if (mayHaveRun_ || outcome_.attempts > 0) {
-        if (serverFailure_ && !responder_.started()) {
-            outcome_.status = serverFailure_->status;
-            outcome_.reason = "server-failure";
-            responder_.send(*serverFailure_);
-            return;
-        }
-        answerError(lastError_);
+    if (outcome_.attempts > 0) {
+        giveUp();
         return;
     }
     const auto kind = reason == PlacementReason::AllCold ? ErrorKind::Cold : ErrorKind::NoCapacity;
     answerError({kind, std::string(toString(reason)), retryAfter(reason)});
 }
 
+void RelayExchange::giveUp()
+{
+    if (!serverFailure_ || responder_.started()) {
+        answerError(lastError_);
+        return;
+    }
+    outcome_.status = serverFailure_->status;
+    outcome_.reason = "server-failure";
+    responder_.send(*serverFailure_);
+}
+
 void RelayExchange::answerError(const Error &error)
 {
     if (outcome_.reason.empty())
@@ -335,7 +342,7 @@
 milliseconds RelayExchange::attemptTimeout() const
 {
     const auto left = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(timeLeft()));
-    if (!route_.repeatable() || outcome_.attempts >= route_.maxAttempts)
+    if (!route_.repeatable() || sentTo_ + 1 >= route_.maxAttempts)
         return left;
     return std::min(left, std::max(shortestAttempt, attemptTargets * route_.latencyTarget));
 }
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -22,6 +22,7 @@
     /** What is known after one attempt. */
     enum class Step {
         Done, /**< the caller has its answer or is gone */
+        NotSent, /**< no byte was written; it counts neither as an attempt nor as a retry */
         NotRun, /**< another server may get the request */
         MayHaveRun, /**< another server may get it if the route allows repetition */
     };
@@ -36,6 +37,7 @@
 
     bool mayTryAgain(Step step);
     void refuse(PlacementReason reason);
+    void giveUp();
     void answerError(const Error &error);
     void record(const ServerId &server, ServerOutcome outcome);
 
@@ -56,6 +58,9 @@
     PlacementQuery query_;
     EventSplitter events_;
 
+    /** Servers that got at least a part of the request. */
+    int sentTo_ = 0;
+
     /** A server may have run the request. */
     bool mayHaveRun_ = false;
 
--- a/modules/jy_gateway/relay/RequestRelay.cpp
+++ b/modules/jy_gateway/relay/RequestRelay.cpp
@@ -9,9 +9,6 @@
 
 using Clock = std::chrono::steady_clock;
 
-// Time after which an instance that has just started usually knows the configuration.
-constexpr std::chrono::milliseconds startupRetryAfter{500};
-
 } // namespace
 
 RequestRelay::RequestRelay(RelayDependencies dependencies, RelaySettings settings,
@@ -36,7 +33,7 @@
                Clock::now() - start);
     };
     if (!config)
-        return reject({ErrorKind::NotReady, "no configuration yet", startupRetryAfter});
+        return reject({ErrorKind::NotReady, "no configuration yet", dependencies_.readyAfter()});
     route = config->findRoute(request.headers.value("Host"), request.path());
     if (!route)
         return reject({ErrorKind::UnknownTarget, "no route for this host and path"});
--- a/modules/jy_gateway/relay/RequestRelay.h
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -53,6 +53,9 @@
     const CallerProtocol &protocol;
     Metrics &metrics;
 
+    /** Time after which this instance is likely to know a configuration that it lacks now. */
+    std::function<std::chrono::milliseconds()> readyAfter;
+
     /** Requests that this instance may send again each second, whatever the traffic. */
     std::function<double()> minimumRetryRate;
 };
