Test the relay on loopback and the adapter's codecs

The tests run it behind a real HttpServer before scripted backend servers: what may be sent again by kind of route, refused connections, keys, budget, timeout, late answers, streams that break off, fall silent or continue. Codecs: one test per message, broken entries of other writers, any bytes by RapidCheck.

--- /dev/null
+++ b/tests/jy_gateway/RequestRelayTest.cpp
@@ -0,0 +1,392 @@
+#include "FleetFixture.h"
+
+#include "jy_gateway/relay/RequestRelay.h"
+#include "jy_http/jy_http.h"
+
+#include <gtest/gtest.h>
+
+namespace jy::test {
+
+namespace {
+
+constexpr seconds callLimit{5};
+
+/** Field names of these tests; the relay knows no names of its own. */
+CallerProtocol testProtocol()
+{
+    CallerProtocol protocol;
+    protocol.describeRequest = [](const HttpHeaders &headers) {
+        RequestFacts facts;
+        facts.id = RequestId(std::string(headers.value("Id")));
+        facts.credential = headers.value("Key");
+        if (headers.find("Patience"))
+            facts.patience = milliseconds(std::stoi(std::string(headers.value("Patience"))));
+        return facts;
+    };
+    protocol.headersForServer = [](const HttpHeaders &headers, const ForwardFacts &facts) {
+        HttpHeaders result{{"Id", std::string(headers.value("Id"))}};
+        result.add("Workspace", facts.workspace.value());
+        result.add("Last-Event", facts.lastEventId);
+        return result;
+    };
+    protocol.describeAnswer = [](int status, const HttpHeaders &headers) {
+        AnswerFacts facts;
+        facts.requestId = headers.value("Id");
+        facts.sealed = headers.find("Seal").has_value();
+        facts.notRun = headers.find("Not-Run").has_value();
+        facts.otherServer = status == 421;
+        facts.eventStream = headers.value("Content-Type") == "text/event-stream";
+        return facts;
+    };
+    protocol.setRetryAfter = [](HttpHeaders &headers, milliseconds time) {
+        headers.set("Retry-After", std::to_string(time.count()));
+    };
+    return protocol;
+}
+
+/** A relay behind a real server, before scripted backend servers. */
+class RelayFixture
+{
+public:
+    explicit RelayFixture(EventLoop &loop)
+        : loop_(loop)
+        , client_(HttpClient::create(loop, {.connectTimeout = milliseconds(300)}))
+        , cold_(InstanceId("self"))
+        , chooser_(fleet, loads_, health_, cold_)
+        , protocol_(testProtocol())
+        , relay_({.client = *client_,
+                  .fleet = fleet,
+                  .loads = loads_,
+                  .health = health_,
+                  .chooser = chooser_,
+                  .protocol = protocol_,
+                  .metrics = metrics_,
+                  .readyAfter = [] { return milliseconds(700); },
+                  .minimumRetryRate = [this] { return retryRate; }},
+                 {.resumeSilence = milliseconds(200)}, 1)
+    {
+        server_ = HttpServer::create(loop, {}, [this](const auto &request, auto &responder) {
+                      relay_.handle(request, responder);
+                  }).value();
+    }
+
+    ~RelayFixture()
+    {
+        server_->stop();
+        for (auto &backend : backends_)
+            backend->stop();
+        EXPECT_TRUE(loads_.own().empty()) << "a request in flight was not counted as finished";
+    }
+
+    void configure(Route route, bool withKey = false)
+    {
+        auto config = twoServices();
+        route.host = "h";
+        route.prefix = "/";
+        route.shares = {{desk, 1}};
+        config->addRoute(std::move(route));
+        config->hasWorkspaces = withKey;
+        config->addKey("secret", {WorkspaceId("w"), std::nullopt});
+        fleet.apply(ConfigWritten{std::move(config)}, std::chrono::steady_clock::now());
+    }
+
+    void addBackend(HttpHandler handler)
+    {
+        backends_.push_back(HttpServer::create(loop_, {}, std::move(handler)).value());
+        list(backends_.back()->localEndpoint());
+    }
+
+    /** A backend server whose address refuses connections. */
+    void addDeadBackend()
+    {
+        auto gone = HttpServer::create(loop_, {}, {}).value();
+        const auto endpoint = gone->localEndpoint();
+        gone.reset();
+        list(endpoint);
+    }
+
+    Result<HttpResponse> call(HttpHeaders headers = {{"Id", "r1"}})
+    {
+        headers.add("Host", "h");
+        return client_->request(server_->localEndpoint(),
+                                {.method = "POST", .target = "/x", .headers = headers}, callLimit,
+                                {.keepHost = true});
+    }
+
+    FleetView fleet;
+    double retryRate = 10;
+
+private:
+    void list(const Endpoint &endpoint)
+    {
+        auto listed = server("s" + std::to_string(listed_++), desk);
+        listed.endpoint = endpoint;
+        fleet.apply(ServerWritten{listed}, std::chrono::steady_clock::now());
+    }
+
+    EventLoop &loop_;
+    std::unique_ptr<HttpClient> client_;
+    LoadTable loads_;
+    ServerHealth health_;
+    ColdAllowance cold_;
+    ServerChooser chooser_;
+    CallerProtocol protocol_;
+    Metrics metrics_;
+    RequestRelay relay_;
+    std::unique_ptr<HttpServer> server_;
+    std::vector<std::unique_ptr<HttpServer>> backends_;
+    int listed_ = 0;
+};
+
+/** Runs a test body in a fiber with a fixture. */
+void withRelay(const std::function<void(RelayFixture &)> &body)
+{
+    EventLoop loop;
+    loop.run([&] {
+        RelayFixture fixture(loop);
+        body(fixture);
+    });
+}
+
+HttpHandler answer(int status, const HttpHeaders &headers, int &calls)
+{
+    return [=, &calls](const HttpRequest &, HttpResponder &out) {
+        ++calls;
+        out.send(status, headers, "body");
+    };
+}
+
+const HttpHeaders sealed{{"Id", "r1"}, {"Seal", "s"}};
+
+TEST(RequestRelayTest, WithoutConfigurationCallersAreToldWhenToReturn)
+{
+    withRelay([](RelayFixture &relay) {
+        const auto response = relay.call().value();
+        EXPECT_EQ(response.status, 503);
+        EXPECT_EQ(response.headers.value("Retry-After"), "700");
+    });
+}
+
+TEST(RequestRelayTest, KeysDecideAboutTheWorkspace)
+{
+    withRelay([](RelayFixture &relay) {
+        relay.configure({}, true);
+        std::string workspace;
+        relay.addBackend([&](const HttpRequest &request, HttpResponder &out) {
+            workspace = request.headers.value("Workspace");
+            out.send(200, sealed, "");
+        });
+        EXPECT_EQ(relay.call({{"Id", "r1"}, {"Key", "other"}}).value().status, 401);
+        EXPECT_EQ(relay.call({{"Id", "r1"}, {"Key", "secret"}}).value().status, 200);
+        EXPECT_EQ(workspace, "w");
+    });
+}
+
+// Streams whose route allows one attempt were refused because the first server refused the
+// connection, although nothing had been sent.
+TEST(RequestRelayTest, RefusedConnectionsAreNoAttempts)
+{
+    withRelay([](RelayFixture &relay) {
+        relay.configure({.kind = RequestKind::Unsafe, .maxAttempts = 1});
+        relay.retryRate = 0;
+        relay.addDeadBackend();
+        relay.addDeadBackend();
+        int calls = 0;
+        relay.addBackend(answer(200, sealed, calls));
+        for (int i = 0; i < 10; ++i)
+            EXPECT_EQ(relay.call().value().status, 200);
+        EXPECT_EQ(calls, 10);
+    });
+}
+
+struct RepeatCase
+{
+    const char *name;
+    RequestKind kind;
+
+    /** Answer of the first server; status 0 closes the connection. */
+    int status;
+    HttpHeaders headers;
+
+    int expectedStatus;
+    int expectedRuns;
+};
+
+struct RepeatTest : testing::TestWithParam<RepeatCase>
+{ };
+
+TEST_P(RepeatTest, OnlyWhatMayRunAgainIsSentAgain)
+{
+    withRelay([](RelayFixture &relay) {
+        const auto &param = GetParam();
+        relay.configure({.kind = param.kind, .maxAttempts = 2});
+        int calls = 0;
+        // Both servers answer the same, so that the order of the attempts does not matter.
+        const auto first = [&](const HttpRequest &, HttpResponder &out) {
+            if (++calls > 1)
+                out.send(200, sealed, "good");
+            else if (param.status == 0)
+                out.startStream(200, sealed);
+            else
+                out.send(param.status, param.headers, "bad");
+        };
+        relay.addBackend(first);
+        relay.addBackend(first);
+        EXPECT_EQ(relay.call().value().status, param.expectedStatus);
+        EXPECT_EQ(calls, param.expectedRuns);
+    });
+}
+
+const HttpHeaders notRun{{"Id", "r1"}, {"Not-Run", "1"}};
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers, RepeatTest,
+    testing::Values(
+        RepeatCase{"UnsafeNotRun", RequestKind::Unsafe, 503, notRun, 200, 2},
+        RepeatCase{"UnsafeFailed", RequestKind::Unsafe, 500, sealed, 500, 1},
+        RepeatCase{"UnsafeBrokenOff", RequestKind::Unsafe, 0, {}, 502, 1},
+        RepeatCase{"UnsafeUnavailableWithoutWord", RequestKind::Unsafe, 503, sealed, 502, 1},
+        RepeatCase{"UnsafeWithoutSeal", RequestKind::Unsafe, 200, {{"Id", "r1"}}, 502, 1},
+        RepeatCase{"SafeFailed", RequestKind::Safe, 500, sealed, 200, 2},
+        RepeatCase{"SafeBrokenOff", RequestKind::Safe, 0, {}, 200, 2},
+        RepeatCase{"SafeWithoutSeal", RequestKind::Safe, 200, {{"Id", "r1"}}, 200, 2},
+        RepeatCase{"StreamNotResumable", RequestKind::Stream, 500, sealed, 500, 1}),
+    [](const auto &info) { return std::string(info.param.name); });
+
+TEST(RequestRelayTest, FailureOfTheServerIsDeliveredWhenNoOtherDoesBetter)
+{
+    withRelay([](RelayFixture &relay) {
+        relay.configure({.kind = RequestKind::Safe, .maxAttempts = 3});
+        int calls = 0;
+        relay.addBackend(answer(500, sealed, calls));
+        const auto response = relay.call().value();
+        EXPECT_EQ(response.status, 500);
+        EXPECT_EQ(response.headers.value("Seal"), "s");
+        EXPECT_EQ(calls, 1);
+    });
+}
+
+TEST(RequestRelayTest, RetriesStayWithinTheBudget)
+{
+    withRelay([](RelayFixture &relay) {
+        relay.configure({.kind = RequestKind::Safe, .maxAttempts = 2});
+        relay.retryRate = 0;
+        int calls = 0;
+        relay.addBackend(answer(500, sealed, calls));
+        relay.addBackend(answer(500, sealed, calls));
+        constexpr int requests = 50;
+        for (int i = 0; i < requests; ++i)
+            relay.call();
+        EXPECT_LE(calls - requests, requests / 5);
+    });
+}
+
+TEST(RequestRelayTest, RefusalThatIsTrueNamesTheTimeToReturn)
+{
+    withRelay([](RelayFixture &relay) {
+        relay.configure({.kind = RequestKind::Unsafe, .maxAttempts = 1});
+        int calls = 0;
+        relay.addBackend(answer(503, notRun, calls));
+        const auto response = relay.call().value();
+        EXPECT_EQ(response.status, 503);
+        EXPECT_TRUE(response.headers.find("Retry-After"));
+    });
+}
+
+TEST(RequestRelayTest, RouteTimeoutEndsTheWait)
+{
+    withRelay([](RelayFixture &relay) {
+        relay.configure({.kind = RequestKind::Unsafe, .timeout = milliseconds(150)});
+        relay.addBackend([](const HttpRequest &, HttpResponder &out) {
+            EventLoop::sleepFor(milliseconds(600));
+            out.send(200, sealed, "");
+        });
+        const auto start = std::chrono::steady_clock::now();
+        EXPECT_EQ(relay.call().value().status, 504);
+        EXPECT_LT(std::chrono::steady_clock::now() - start, milliseconds(500));
+    });
+}
+
+TEST(RequestRelayTest, LateAnswerToAnEarlierRequestIsDropped)
+{
+    withRelay([](RelayFixture &relay) {
+        relay.configure({.kind = RequestKind::Unsafe});
+        // The first answer names another request; the own one follows on the same connection.
+        relay.addBackend([](const HttpRequest &, HttpResponder &out) {
+            out.send(200, {{"Id", "other"}, {"Seal", "s"}}, "not yours");
+        });
+        const auto response = relay.call({{"Id", "r1"}, {"Patience", "300"}}).value();
+        EXPECT_NE(response.body, "not yours");
+        EXPECT_GE(response.status, 500);
+    });
+}
+
+HttpHeaders streamHead()
+{
+    auto headers = sealed;
+    headers.add("Content-Type", "text/event-stream");
+    return headers;
+}
+
+TEST(RequestRelayTest, ResumableStreamContinuesAfterItsLastWholeEvent)
+{
+    withRelay([](RelayFixture &relay) {
+        relay.configure({.kind = RequestKind::Stream, .resumable = true, .maxAttempts = 2});
+        std::vector<std::string> resumedAfter;
+        const auto backend = [&](const HttpRequest &request, HttpResponder &out) {
+            resumedAfter.emplace_back(request.headers.value("Last-Event"));
+            out.startStream(200, streamHead());
+            if (resumedAfter.size() == 1) {
+                out.write("id: 1\ndata: a\n\nid: 2\nda");
+                return;
+            }
+            out.write("id: 2\ndata: b\n\n");
+            out.endStream();
+        };
+        relay.addBackend(backend);
+        relay.addBackend(backend);
+        const auto response = relay.call().value();
+        EXPECT_EQ(response.body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        EXPECT_EQ(resumedAfter, (std::vector<std::string>{"", "1"}));
+    });
+}
+
+TEST(RequestRelayTest, SilentResumableStreamContinuesElsewhere)
+{
+    withRelay([](RelayFixture &relay) {
+        relay.configure({.kind = RequestKind::Stream, .resumable = true, .maxAttempts = 2});
+        int calls = 0;
+        const auto backend = [&](const HttpRequest &, HttpResponder &out) {
+            const bool first = ++calls == 1;
+            out.startStream(200, streamHead());
+            out.write(first ? "id: 1\n\n" : "id: 2\n\n");
+            if (first)
+                EventLoop::sleepFor(seconds(1));
+            out.endStream();
+        };
+        relay.addBackend(backend);
+        relay.addBackend(backend);
+        EXPECT_EQ(relay.call().value().body, "id: 1\n\nid: 2\n\n");
+    });
+}
+
+TEST(RequestRelayTest, BrokenStreamDoesNotLookComplete)
+{
+    withRelay([](RelayFixture &relay) {
+        relay.configure({.kind = RequestKind::Stream, .maxAttempts = 2});
+        int calls = 0;
+        const auto backend = [&](const HttpRequest &, HttpResponder &out) {
+            ++calls;
+            out.startStream(200, streamHead());
+            out.write("id: 1\n\n");
+        };
+        relay.addBackend(backend);
+        relay.addBackend(backend);
+        EXPECT_FALSE(relay.call());
+        EXPECT_EQ(calls, 1);
+    });
+}
+
+} // namespace
+
+} // namespace jy::test
--- /dev/null
+++ b/tests/platform/CodecTest.cpp
@@ -0,0 +1,202 @@
+#include "platform/CallerCodec.h"
+#include "platform/FleetCodec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace jy::platform {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+template <class Change>
+const Change *changeOf(const std::optional<FleetChange> &change)
+{
+    return change ? std::get_if<Change>(&*change) : nullptr;
+}
+
+TEST(FleetCodecTest, Configuration)
+{
+    const auto change = decodeFleetChange({"op/config", R"({"version":7,
+        "routes":[{"name":"r1","host":"h","prefix":"/a/","route_kind":"stream","timeout_ms":6000,
+          "target_latency_ms":500,"priority":1,"max_attempts":2,"public":true,"sticky":true,
+          "stream_resume":true,"gap_target_ms":250,
+          "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]},
+          {"name":"r2","host":"h","prefix":"/b/","route_kind":"unsafe","service":"s2"},
+          {"name":"broken"}],
+        "services":[{"name":"s1","max_connections":370,"cold_start_s":3.5,"cold_per_s":12.0,
+          "engine":{"kv_capacity_tokens":345666}}],
+        "limits":{"max_header_bytes":100,"idle_timeout_ms":15000},
+        "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1}]})",
+                                           5, false});
+    const auto *written = changeOf<ConfigWritten>(change);
+    ASSERT_NE(written, nullptr);
+    const auto &config = *written->config;
+    EXPECT_EQ(config.version, 7U);
+    EXPECT_EQ(config.routeCount(), 2U);
+    const auto *route = config.findRoute("h", "/a/x");
+    ASSERT_NE(route, nullptr);
+    EXPECT_TRUE(route->repeatable() && route->open && route->cachesPrompts);
+    EXPECT_EQ(route->timeout, milliseconds(6000));
+    EXPECT_EQ(route->shares.size(), 2U);
+    EXPECT_EQ(config.findRoute("h", "/b/")->kind, RequestKind::Unsafe);
+    const auto *service = config.findService(ServiceId("s1"));
+    ASSERT_NE(service, nullptr);
+    EXPECT_EQ(service->coldDuration, milliseconds(3500));
+    EXPECT_EQ(service->cacheTokens, 345666);
+    EXPECT_EQ(config.limits.maxHeadBytes, 100U);
+    EXPECT_EQ(config.findKey("k2")->workspace, WorkspaceId("t"));
+    EXPECT_EQ(config.findKey("k2")->priority, 1);
+    EXPECT_EQ(config.findKey("k3"), nullptr);
+}
+
+TEST(FleetCodecTest, Server)
+{
+    const auto change = decodeFleetChange(
+        {"servers/i-1",
+         R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":64,
+             "state":"draining","cold_left_ms":1500,"born":1789000000123,"sequence":4})",
+         5, false});
+    const auto *written = changeOf<ServerWritten>(change);
+    ASSERT_NE(written, nullptr);
+    const ListedServer expected{.id = ServerId("i-1"),
+                                .service = ServiceId("s"),
+                                .endpoint = {"10.0.0.9", 80},
+                                .domain = DomainId("z"),
+                                .version = VersionId("v1"),
+                                .slots = 64,
+                                .leaving = true,
+                                .coldLeft = milliseconds(1500),
+                                .born = 1789000000123};
+    EXPECT_EQ(written->server, expected);
+}
+
+struct ForeignEntry : testing::TestWithParam<const char *>
+{ };
+
+TEST_P(ForeignEntry, NamesNoServer)
+{
+    const auto change = decodeFleetChange({"servers/i-1", GetParam(), 5, false});
+    EXPECT_NE(changeOf<ServerRemoved>(change), nullptr);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Values, ForeignEntry,
+    testing::Values("", "\xff\xfe", "[]", "{}",
+                    R"({"service":1,"address":"10.0.0.9:80","state":"ready"})",
+                    R"({"service":"s","address":"host:80","state":"ready"})",
+                    R"({"service":"s","address":"10.0.0.9:80","state":"resting"})",
+                    R"({"service":"s","address":"10.0.0.9:80"})"));
+
+RC_GTEST_PROP(FleetCodecTest, AnyValueIsReadOrRefused, (const std::string &value))
+{
+    for (const char *key :
+         {"servers/x", "op/config", "op/rollout/s", "op/evacuate/z", "status/rollout/s", "other"})
+        decodeFleetChange({key, value, 1, false});
+}
+
+TEST(FleetCodecTest, EvacuationAndItsEnd)
+{
+    const auto begin = decodeFleetChange({"op/evacuate/z", "{}", 1, false});
+    const auto end = decodeFleetChange({"op/evacuate/z", "", 2, true});
+    ASSERT_NE(changeOf<EvacuationWritten>(begin), nullptr);
+    EXPECT_EQ(changeOf<EvacuationWritten>(begin)->domain, DomainId("z"));
+    EXPECT_NE(changeOf<EvacuationRemoved>(end), nullptr);
+}
+
+struct ReportCase : testing::TestWithParam<RolloutState>
+{ };
+
+TEST_P(ReportCase, RoundTrip)
+{
+    const RolloutReport report{ServiceId("s"), VersionId("v2"), GetParam()};
+    const auto write = encodeRolloutReport(report);
+    const auto change = decodeFleetChange({write.key, write.value, 1, false});
+    ASSERT_NE(changeOf<RolloutReportWritten>(change), nullptr);
+    EXPECT_EQ(changeOf<RolloutReportWritten>(change)->report, report);
+}
+
+INSTANTIATE_TEST_SUITE_P(States, ReportCase,
+                         testing::Values(RolloutState::Running, RolloutState::Completed,
+                                         RolloutState::Reverted));
+
+TEST(CallerCodecTest, Request)
+{
+    const auto facts = createCallerProtocol().describeRequest(
+        {{"Jacinthyoke-Attempt-Id", "9c41"},
+         {"jacinthyoke-deadline-ms", "6000"},
+         {"Jacinthyoke-Token-Count", "1460,80"},
+         {"Jacinthyoke-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,bad,e4402b7d:250"},
+         {"Jacinthyoke-Credential", "key"}});
+    EXPECT_EQ(facts.id, RequestId("9c41"));
+    EXPECT_EQ(facts.patience, milliseconds(6000));
+    EXPECT_EQ(facts.outputTokens, 80);
+    ASSERT_EQ(facts.prompt.size(), 3U);
+    EXPECT_EQ(facts.prompt[1].id, "91bd3f06");
+    EXPECT_EQ(facts.prompt[1].tokens, 410);
+    EXPECT_EQ(facts.credential, "key");
+}
+
+TEST(CallerCodecTest, FieldsThatOnlyThisSystemSetsDoNotPass)
+{
+    HttpHeaders sent{{"Jacinthyoke-Attempt-Id", "9c41"}, {"Accept", "x"}};
+    for (const char *name :
+         {"Jacinthyoke-Credential", "Jacinthyoke-Tenant", "Jacinthyoke-Hold", "Jacinthyoke-Pin-Ms",
+          "jacinthyoke-kv-backup", "Kv-From", "Kv-Fetch", "Jacinthyoke-Expect-Replica",
+          "Jacinthyoke-Expect-Version", "Jacinthyoke-Request-Priority"})
+        sent.add(name, "forged");
+    const auto forwarded = createCallerProtocol().headersForServer(sent,
+                                                                   {.server = ServerId("i-1"),
+                                                                    .timeLeft = milliseconds(1200),
+                                                                    .workspace = WorkspaceId("w"),
+                                                                    .priority = 1});
+    for (const auto &[name, value] : forwarded)
+        EXPECT_NE(value, "forged") << name;
+    EXPECT_EQ(forwarded.value("Jacinthyoke-Attempt-Id"), "9c41");
+    EXPECT_EQ(forwarded.value("Accept"), "x");
+    EXPECT_EQ(forwarded.value("Jacinthyoke-Expect-Replica"), "i-1");
+    EXPECT_EQ(forwarded.value("Jacinthyoke-Deadline-Ms"), "1200");
+    EXPECT_EQ(forwarded.value("Jacinthyoke-Tenant"), "w");
+    EXPECT_EQ(forwarded.value("Jacinthyoke-Request-Priority"), "3");
+    EXPECT_FALSE(forwarded.find("Last-Event-Id"));
+}
+
+TEST(CallerCodecTest, Answer)
+{
+    const auto protocol = createCallerProtocol();
+    const auto facts = protocol.describeAnswer(200,
+                                               {{"Jacinthyoke-Replica-Seal", "s"},
+                                                {"Jacinthyoke-Replica-Load", "3,1,8"},
+                                                {"Jacinthyoke-Cold-Ms", "250"},
+                                                {"Content-Type", "text/event-stream"}});
+    EXPECT_TRUE(facts.sealed && facts.eventStream);
+    EXPECT_FALSE(facts.notRun || facts.otherServer);
+    EXPECT_EQ(facts.load->waiting, 1);
+    EXPECT_EQ(facts.coldLeft, milliseconds(250));
+    EXPECT_TRUE(protocol.describeAnswer(503, {{"Jacinthyoke-Not-Executed", "1"}}).notRun);
+    EXPECT_TRUE(protocol.describeAnswer(421, {}).otherServer);
+}
+
+TEST(CallerCodecTest, TimeToReturnHasFractions)
+{
+    HttpHeaders headers;
+    createCallerProtocol().setRetryAfter(headers, milliseconds(2050));
+    EXPECT_EQ(headers.value("Retry-After"), "2.050");
+}
+
+TEST(CallerCodecTest, Directory)
+{
+    const auto protocol = createCallerProtocol();
+    const auto query = protocol.readDirectoryQuery(
+        {.target = "/jacinthyoke/resolve?name=h.example&region=r&zone=z1"});
+    ASSERT_TRUE(query);
+    EXPECT_EQ(query->domain, DomainId("z1"));
+    EXPECT_FALSE(protocol.readDirectoryQuery({.target = "/other"}));
+    EXPECT_EQ(protocol.directoryAnswer({{"10.0.0.1", 80}}, std::chrono::seconds(2)).body,
+              R"({"addresses":["10.0.0.1:80"],"ttl_s":2})");
+}
+
+} // namespace
+
+} // namespace jy::platform
