Let prompts spill when requests wait at their home

Loads of other instances were up to 0.5 s old. Change: beats every 100 ms in small fleets (the period grows with the fleet as before) and with the requests that wait for the start of their answer; a prompt spills at four of them.

--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -196,7 +196,7 @@
     }
     const auto now = Clock::now();
     if (peers_.receive(beat.value(), now))
-        loads_.setPeerLoad(beat.value().instance.id, beat.value().loads, now);
+        loads_.setPeerUse(beat.value().instance.id, beat.value().use, now);
 }
 
 void Gateway::sendBeat()
@@ -205,7 +205,7 @@
                       .incarnation = incarnation_,
                       .sequence = ++beatSequence_,
                       .ready = ready(),
-                      .loads = loads_.own()};
+                      .use = loads_.own()};
     const auto bytes = encodeBeat(std::move(beat));
     for (const auto &destination : peers_.destinations())
         beats_->send(bytes, destination);
--- a/modules/jy_gateway/peers/BeatCodec.cpp
+++ b/modules/jy_gateway/peers/BeatCodec.cpp
@@ -28,16 +28,18 @@
     message.set_link_mbps(static_cast<std::uint32_t>(std::max(0, beat.instance.linkMbps)));
     message.set_domain(beat.instance.domain.value());
     message.set_ready(beat.ready);
-    std::vector<std::pair<ServerId, int>> loads(beat.loads.begin(), beat.loads.end());
-    std::ranges::sort(loads, std::ranges::greater(), [](const auto &load) { return load.second; });
+    std::vector<std::pair<ServerId, ServerUse>> entries(beat.use.begin(), beat.use.end());
+    std::ranges::sort(entries, std::ranges::greater(),
+                      [](const auto &entry) { return entry.second.inFlight; });
     std::size_t used = fixedBytes;
-    for (const auto &[server, count] : loads) {
+    for (const auto &[server, use] : entries) {
         used += server.value().size() + loadEntryBytes;
         if (used > maxBeatBytes)
             break;
         auto *load = message.add_loads();
         load->set_server(server.value());
-        load->set_in_flight(static_cast<std::uint32_t>(std::max(0, count)));
+        load->set_in_flight(static_cast<std::uint32_t>(std::max(0, use.inFlight)));
+        load->set_waiting(static_cast<std::uint32_t>(std::max(0, use.waiting)));
     }
     return message.SerializeAsString();
 }
@@ -59,7 +61,8 @@
     beat.sequence = message.sequence();
     beat.ready = message.ready();
     for (const auto &load : message.loads())
-        beat.loads[ServerId(load.server())] = static_cast<int>(load.in_flight());
+        beat.use[ServerId(load.server())] = {static_cast<int>(load.in_flight()),
+                                             static_cast<int>(load.waiting())};
     return beat;
 }
 
--- a/modules/jy_gateway/peers/PeerTable.h
+++ b/modules/jy_gateway/peers/PeerTable.h
@@ -17,7 +17,7 @@
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     bool ready = false;
-    LoadByServer loads;
+    UseByServer use;
 };
 
 /**
@@ -31,7 +31,7 @@
 {
 public:
     /** Shortest time between two beats of one instance. */
-    static constexpr std::chrono::milliseconds shortestPeriod{500};
+    static constexpr std::chrono::milliseconds shortestPeriod{100};
 
     /** Processor time for beats stays constant above this fleet size: the period grows instead. */
     static constexpr std::chrono::milliseconds periodPerInstance{15};
--- a/modules/jy_gateway/placement/LoadTable.cpp
+++ b/modules/jy_gateway/placement/LoadTable.cpp
@@ -2,33 +2,51 @@
 
 namespace jy {
 
-void LoadTable::finish(const ServerId &server)
+void LoadTable::start(const ServerId &server)
+{
+    auto &use = own_[server];
+    ++use.inFlight;
+    ++use.waiting;
+}
+
+void LoadTable::answerBegan(const ServerId &server)
+{
+    --own_[server].waiting;
+}
+
+void LoadTable::finish(const ServerId &server, bool began)
 {
     const auto found = own_.find(server);
-    if (found != own_.end() && --found->second == 0)
+    if (found == own_.end())
+        return;
+    if (!began)
+        --found->second.waiting;
+    if (--found->second.inFlight == 0)
         own_.erase(found);
 }
 
-void LoadTable::setPeerLoad(const InstanceId &instance, LoadByServer load, TimePoint now)
+void LoadTable::setPeerUse(const InstanceId &instance, UseByServer use, TimePoint now)
 {
-    peers_[instance] = {std::move(load), now};
+    peers_[instance] = {std::move(use), now};
 }
 
-int LoadTable::own(const ServerId &server) const
+ServerUse LoadTable::own(const ServerId &server) const
 {
     const auto found = own_.find(server);
-    return found == own_.end() ? 0 : found->second;
+    return found == own_.end() ? ServerUse{} : found->second;
 }
 
-int LoadTable::total(const ServerId &server, TimePoint now) const
+ServerUse LoadTable::total(const ServerId &server, TimePoint now) const
 {
-    int sum = own(server);
+    auto sum = own(server);
     for (const auto &[instance, peer] : peers_) {
         if (now - peer.received > maxAge)
             continue;
-        const auto found = peer.load.find(server);
-        if (found != peer.load.end())
-            sum += found->second;
+        const auto found = peer.use.find(server);
+        if (found == peer.use.end())
+            continue;
+        sum.inFlight += found->second.inFlight;
+        sum.waiting += found->second.waiting;
     }
     return sum;
 }
--- a/modules/jy_gateway/placement/LoadTable.h
+++ b/modules/jy_gateway/placement/LoadTable.h
@@ -7,12 +7,22 @@
 
 namespace jy {
 
-/** Requests in flight by backend server. */
-using LoadByServer = std::map<ServerId, int>;
+/** Requests at one backend server. */
+struct ServerUse
+{
+    int inFlight = 0;
+
+    /** Those of them whose answer has not begun. */
+    int waiting = 0;
+
+    bool operator==(const ServerUse &) const = default;
+};
+
+using UseByServer = std::map<ServerId, ServerUse>;
 
 /**
- * Load of the backend servers: own requests in flight, exactly, and those of the other instances
- * as of their last beat.
+ * Use of the backend servers: by own requests, exactly, and by those of the other instances as of
+ * their last beat.
  */
 class LoadTable
 {
@@ -20,30 +30,34 @@
     /** Beats older than this are ignored. */
     static constexpr std::chrono::milliseconds maxAge{6000};
 
-    void start(const ServerId &server) { ++own_[server]; }
-    void finish(const ServerId &server);
+    void start(const ServerId &server);
+
+    /** The answer of a request has begun. */
+    void answerBegan(const ServerId &server);
+
+    /** @param began whether answerBegan() was called for the request */
+    void finish(const ServerId &server, bool began);
 
     /** Replaces what another instance reported. */
-    void setPeerLoad(const InstanceId &instance, LoadByServer load, TimePoint now);
-    void forgetPeer(const InstanceId &instance) { peers_.erase(instance); }
+    void setPeerUse(const InstanceId &instance, UseByServer use, TimePoint now);
 
-    /** Requests in flight at a server from this instance. */
-    int own(const ServerId &server) const;
+    /** Use by this instance. */
+    ServerUse own(const ServerId &server) const;
 
-    /** Requests in flight at a server from all instances, as far as known. */
-    int total(const ServerId &server, TimePoint now) const;
+    /** Use by all instances, as far as known. */
+    ServerUse total(const ServerId &server, TimePoint now) const;
 
-    const LoadByServer &own() const { return own_; }
+    const UseByServer &own() const { return own_; }
 
 private:
-    struct PeerLoad
+    struct PeerUse
     {
-        LoadByServer load;
+        UseByServer use;
         TimePoint received;
     };
 
-    LoadByServer own_;
-    std::map<InstanceId, PeerLoad> peers_;
+    UseByServer own_;
+    std::map<InstanceId, PeerUse> peers_;
 };
 
 } // namespace jy
--- a/modules/jy_gateway/placement/ServerChooser.cpp
+++ b/modules/jy_gateway/placement/ServerChooser.cpp
@@ -61,7 +61,9 @@
         if (query.tried.contains(id))
             continue;
         Candidate candidate{.server = server};
-        candidate.load = query.affinity != 0 ? loads_.total(id, now) : loads_.own(id);
+        const auto use = query.affinity != 0 ? loads_.total(id, now) : loads_.own(id);
+        candidate.load = use.inFlight;
+        candidate.waiting = use.waiting;
         candidate.cold = server->coldUntil > now;
         if (candidate.cold && policy && policy->coldRequestsPerSecond > 0
             && !cold_.available(id, policy->coldRequestsPerSecond, now)) {
@@ -97,7 +99,7 @@
     const double mean = (sum + 1) / static_cast<double>(candidates.size());
     const double bound = mean * spillFactor + spillSlack;
     for (const auto &candidate : candidates) {
-        if (candidate.load + candidate.penalty + 1 > bound)
+        if (candidate.load + candidate.penalty + 1 > bound || candidate.waiting >= waitingLimit)
             continue;
         const bool first = &candidate == &candidates.front();
         return {candidate.server->listed.id,
--- a/modules/jy_gateway/placement/ServerChooser.h
+++ b/modules/jy_gateway/placement/ServerChooser.h
@@ -68,6 +68,12 @@
     /** Requests above the relative bound that are accepted, so that small loads do not spill. */
     static constexpr double spillSlack = 2.5;
 
+    /**
+     * Requests waiting for the start of their answer at which a prompt spills. An engine reads one
+     * uncached prompt in 0.2 s, so the fourth one in a row misses targets of half a second.
+     */
+    static constexpr int waitingLimit = 4;
+
     ServerChooser(const FleetView &fleet, const LoadTable &loads, const ServerHealth &health,
                   ColdAllowance &cold);
 
@@ -79,6 +85,7 @@
     {
         const ServerState *server = nullptr;
         int load = 0;
+        int waiting = 0;
         double penalty = 0;
         std::uint64_t rank = 0;
         bool cold = false;
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -125,13 +125,14 @@
         return answer.requestId.empty() || answer.requestId == facts_.id.value();
     };
     dependencies.loads.start(listed.id);
+    answerBegan_ = false;
     auto opened =
         dependencies.client.open(listed.endpoint, outgoingRequest, attemptTimeout(), options);
     if (opened || opened.error().kind != ErrorKind::ConnectFailed)
         ++sentTo_;
     const auto step =
         opened ? relayAnswer(*opened.value(), listed.id) : fail(opened.error(), listed.id);
-    dependencies.loads.finish(listed.id);
+    dependencies.loads.finish(listed.id, answerBegan_);
     return step;
 }
 
@@ -248,6 +249,10 @@
         }
         if (part.value().empty())
             break;
+        if (!answerBegan_) {
+            answerBegan_ = true;
+            relay_.dependencies_.loads.answerBegan(server);
+        }
         const auto events = events_.add(part.value());
         if (events.empty())
             continue;
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -58,6 +58,9 @@
     PlacementQuery query_;
     EventSplitter events_;
 
+    /** The answer of the current attempt has begun. */
+    bool answerBegan_ = false;
+
     /** Servers that got at least a part of the request. */
     int sentTo_ = 0;
 
