--- a/modules/jy_gateway/relay/RequestRelay.cpp
+++ b/modules/jy_gateway/relay/RequestRelay.cpp
@@ -16,6 +16,8 @@
     : dependencies_(std::move(dependencies))
     , settings_(settings)
     , random_(seed)
+    , answeredLines_(settings.logLinesPerSecond)
+    , failedLines_(settings.logLinesPerSecond)
 { }
 
 void RequestRelay::handle(const HttpRequest &request, HttpResponder &responder)
@@ -72,6 +74,11 @@
         .histogram("jy_request_seconds", "Time from a request to the end of its answer.",
                    {{"kind", std::string(kind)}})
         .observe(duration);
+    auto &lines = outcome.status / 100 == 2 ? answeredLines_ : failedLines_;
+    if (!lines.take(Clock::now()))
+        return;
+    if (const auto dropped = lines.takeDropped())
+        logEvent(LogLevel::Warn, "log-lines-dropped", {{"lines", dropped}});
     const auto config = dependencies_.fleet.config();
     logEvent(LogLevel::Info, "request-done",
              {{"request", facts.id},
--- a/modules/jy_gateway/relay/RequestRelay.h
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -3,6 +3,7 @@
 #include "jy_core/limits/RetryBudget.h"
 #include "jy_gateway/adapter/CallerProtocol.h"
 #include "jy_gateway/placement/ServerChooser.h"
+#include "jy_gateway/relay/LogBudget.h"
 #include "jy_http/client/HttpClient.h"
 #include "jy_http/server/HttpResponder.h"
 #include "jy_runtime/metrics/Metrics.h"
@@ -40,6 +41,12 @@
 
     /** Share of a service's requests that may be sent again; the fleet's bound is twice this. */
     double retryShare = 0.1;
+
+    /**
+     * Lines a second about requests that were answered, and about those that were not; ten times
+     * what an instance serves at the two-year size.
+     */
+    int logLinesPerSecond = 100;
 };
 
 /** References must outlive the relay. */
@@ -89,6 +96,8 @@
     std::mt19937_64 random_;
     std::uniform_real_distribution<double> uniform_{0.0, 1.0};
     std::map<ServiceId, RetryBudget> budgets_;
+    LogBudget answeredLines_;
+    LogBudget failedLines_;
 };
 
 } // namespace jy
--- a/modules/jy_gateway/settings/GatewaySettings.cpp
+++ b/modules/jy_gateway/settings/GatewaySettings.cpp
@@ -55,7 +55,8 @@
            "The settings file of `jygateway` is JSON with `//` and `/* */` comments and trailing "
            "commas. Unknown keys are errors. `jygateway --check` reports all errors of a file at "
            "once, and `jygateway --print-settings` prints the effective values. This page is "
-           "generated: `jygateway --reference > docs/operations/gateway-settings.md`.\n\n"
+           "generated: `jyctl reference gateway-settings > "
+           "docs/operations/gateway-settings.md`.\n\n"
         + settingsTable<GatewaySettings>();
 }
 
--- a/programs/jyctl/main.cpp
+++ b/programs/jyctl/main.cpp
@@ -1,3 +1,4 @@
+#include "jy_gateway/settings/GatewaySettings.h"
 #include "jy_router/operations/client/Commands.h"
 
 #include "jy_runtime/jy_runtime.h"
@@ -54,6 +55,12 @@
     return jy::ControlExit::Ok;
 }
 
+jy::ControlExit printGatewayReference(jy::Commands & /*commands*/, const std::string & /*argument*/)
+{
+    std::cout << jy::gatewaySettingsPage();
+    return jy::ControlExit::Ok;
+}
+
 const std::vector<CommandSpec> &commandTable()
 {
     using jy::Commands;
@@ -65,7 +72,8 @@
         {{"return"}, true, true, [](auto &c, const auto &d) { return c.returnDomain(d); }},
         {{"status"}, false, true, [](auto &c, const auto &) { return c.status(); }},
         {{"explain"}, false, true, [](auto &c, const auto &) { return c.explain(); }},
-        {{"reference", "settings"}, false, false, printReference}};
+        {{"reference", "settings"}, false, false, printReference},
+        {{"reference", "gateway-settings"}, false, false, printGatewayReference}};
     return table;
 }
 
--- a/programs/jygateway/main.cpp
+++ b/programs/jygateway/main.cpp
@@ -2,20 +2,30 @@
 #include "jy_runtime/jy_runtime.h"
 #include "platform/Adapter.h"
 
-#include <absl/flags/flag.h>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include <iostream>
 
-ABSL_FLAG(bool, reference, false, "print the settings reference as Markdown");
-
 namespace {
 
 using jy::ExitCode;
 
+/** A reader of the log that stops reading costs lines, not requests. */
+void dropLinesWhenTheLogIsFull()
+{
+    struct stat status
+    { };
+    if (::fstat(STDOUT_FILENO, &status) == 0 && S_ISFIFO(status.st_mode))
+        ::fcntl(STDOUT_FILENO, F_SETFL, ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+}
+
 ExitCode runGateway(const jy::GatewaySettings &settings, const std::string &settingsFile)
 {
     jy::setUpLogging(settings.instance.id.value(), settings.parsedLogLevel(),
                      jy::LogStream::StandardOutput);
+    dropLinesWhenTheLogIsFull();
     jy::EventLoop loop;
     auto exitCode = ExitCode::Ok;
     loop.run([&] {
@@ -41,10 +51,6 @@
     const auto options = jy::parseProgramOptions(argc, argv, program);
     if (const auto *exitCode = std::get_if<ExitCode>(&options))
         return static_cast<int>(*exitCode);
-    if (absl::GetFlag(FLAGS_reference)) {
-        std::cout << jy::gatewaySettingsPage();
-        return static_cast<int>(ExitCode::Ok);
-    }
     const auto &parsed = std::get<jy::ProgramOptions>(options);
     const auto settings =
         jy::loadProgramSettings<jy::GatewaySettings>(parsed, std::cout, std::cerr);
--- a/tests/jy_gateway/RelayRulesTest.cpp
+++ b/tests/jy_gateway/RelayRulesTest.cpp
@@ -1,6 +1,7 @@
 #include "jy_gateway/model/RoutingConfig.h"
 #include "jy_gateway/relay/AnswerRules.h"
 #include "jy_gateway/relay/EventSplitter.h"
+#include "jy_gateway/relay/LogBudget.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -100,6 +101,19 @@
                                          RouteCase{"b.example", "/x/1", "other"},
                                          RouteCase{"c.example", "/x/1", ""}));
 
+TEST(LogBudgetTest, FloodOfRequestsIsNoFloodOfLines)
+{
+    LogBudget budget(10);
+    const TimePoint start{std::chrono::hours(1)};
+    int written = 0;
+    for (int i = 0; i < 100; ++i)
+        written += budget.take(start + std::chrono::milliseconds(i)) ? 1 : 0;
+    EXPECT_EQ(written, 10);
+    EXPECT_EQ(budget.takeDropped(), 90U);
+    EXPECT_TRUE(budget.take(start + std::chrono::seconds(1)));
+    EXPECT_EQ(budget.takeDropped(), 0U);
+}
+
 TEST(RouteTest, SharesFollowTheWeights)
 {
     const Route route{.shares = {{ServiceId("a"), 90}, {ServiceId("b"), 10}}};
--- /dev/null
+++ b/tests/platform/TemplateTest.cpp
@@ -0,0 +1,75 @@
+#include "jy_gateway/settings/GatewaySettings.h"
+#include "jy_runtime/settings/Settings.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace jy::platform {
+
+namespace {
+
+/** Fills the template as the platform does: values, and one section for each entry of a list. */
+std::string render(std::string text, const std::map<std::string, std::string> &values,
+                   const std::vector<std::string> &seeds)
+{
+    const std::string begin = "{{#seeds}}";
+    const std::string end = "{{/seeds}}";
+    const auto from = text.find(begin);
+    const auto to = text.find(end);
+    std::string list;
+    for (const auto &seed : seeds)
+        list += (list.empty() ? "\"" : ", \"") + seed + '"';
+    text.replace(from, to + end.size() - from, list);
+    for (const auto &[name, value] : values) {
+        const auto placeholder = "{{" + name + "}}";
+        for (auto at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder))
+            text.replace(at, placeholder.size(), value);
+    }
+    return text;
+}
+
+struct TemplateCase : testing::TestWithParam<const char *>
+{ };
+
+// All instances ended at their start when the bandwidth of the link came as "1000.0".
+TEST_P(TemplateCase, RenderedSettingsAreValid)
+{
+    const auto text = readTextFile(JY_SOURCE_DIR "/deploy/gateway-settings.json.in");
+    ASSERT_TRUE(text);
+    const auto rendered = render(text.value(),
+                                 {{"node_name", "front-a-1"},
+                                  {"zone", "a"},
+                                  {"region", "r"},
+                                  {"ip", "10.1.0.40"},
+                                  {"listen.front", "10.1.0.40:8227"},
+                                  {"listen.directory", "10.1.0.40:8224"},
+                                  {"listen.ready", "10.1.0.40:8220"},
+                                  {"listen.control", "10.1.0.40:8229"},
+                                  {"internal_ports.0", "7340"},
+                                  {"platform.address", "10.200.1.7:8223"},
+                                  {"bounds.grace_s", "8"},
+                                  {"bounds.retry_slack", "56"},
+                                  {"limits.link_mbps", GetParam()}},
+                                 {"10.1.0.40:8229", "10.2.0.29:8229"});
+    EXPECT_EQ(rendered.find("{{"), std::string::npos) << rendered;
+    const auto settings = parseSettings<GatewaySettings>("settings", rendered);
+    ASSERT_TRUE(settings) << settings.error().message;
+    EXPECT_EQ(settings.value().seeds.size(), 2U);
+    EXPECT_EQ(settings.value().listen.caller, (Endpoint{"10.1.0.40", 8227}));
+}
+
+INSTANTIATE_TEST_SUITE_P(Links, TemplateCase, testing::Values("1000.0", "200", "10.0"));
+
+// Guards against a settings page that does not match the program. To regenerate the page:
+// jyctl reference gateway-settings > docs/operations/gateway-settings.md
+TEST(GatewaySettingsTest, ReferencePageIsCurrent)
+{
+    const auto page = readTextFile(JY_SOURCE_DIR "/docs/operations/gateway-settings.md");
+    ASSERT_TRUE(page) << page.error().message;
+    EXPECT_EQ(page.value(), gatewaySettingsPage());
+}
+
+} // namespace
+
+} // namespace jy::platform
