Test real gateways with a stand-in of the platform's store

Five tests run real processes on loopback: a killed instance leaves the directory within 6 s, an outage of the store stops nobody and a late starter reads a peer's copy, a forgotten history hides no change, a graceful stop finishes running requests, and calls to the store do not grow with the fleet. Evidence of fewer than half a request is no longer sent in beats.

--- a/modules/jy_gateway/placement/ServerHealth.cpp
+++ b/modules/jy_gateway/placement/ServerHealth.cpp
@@ -17,7 +17,7 @@
 constexpr double assumedAnswers = 5;
 
 // Evidence below this is neither kept nor passed on.
-constexpr double negligible = 0.1;
+constexpr double negligible = 0.5;
 
 // Beats of an instance that is gone no longer count after this time.
 constexpr std::chrono::seconds longestPeerAge{8};
--- /dev/null
+++ b/tests/platform/GatewayProcessTest.cpp
@@ -0,0 +1,296 @@
+#include "StandinStore.h"
+
+#include "common/ChildProcess.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+namespace jy::platform::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Clock = std::chrono::steady_clock;
+
+// Bounds of the platform: directory without a dead instance, configuration, recovery.
+constexpr seconds directoryBound{6};
+constexpr seconds configBound{2};
+constexpr seconds startBound{12};
+
+Endpoint freeEndpoint(EventLoop &loop)
+{
+    boost::asio::ip::tcp::acceptor acceptor(loop.io(),
+                                            {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return {"127.0.0.1", acceptor.local_endpoint().port()};
+}
+
+bool within(std::chrono::milliseconds time, const std::function<bool()> &condition)
+{
+    const auto deadline = Clock::now() + time;
+    while (Clock::now() < deadline) {
+        if (condition())
+            return true;
+        EventLoop::sleepFor(milliseconds(50));
+    }
+    return condition();
+}
+
+/** Real gateways as separate processes, before a stand-in store and scripted backend servers. */
+class GatewayFleet
+{
+public:
+    struct Instance
+    {
+        Endpoint caller;
+        Endpoint directory;
+        Endpoint readiness;
+        Endpoint control;
+        std::unique_ptr<bench::ChildProcess> process;
+    };
+
+    explicit GatewayFleet(EventLoop &loop)
+        : store(loop)
+        , loop_(loop)
+        , client_(HttpClient::create(loop, {.connectTimeout = milliseconds(300)}))
+    {
+        std::string pattern = std::filesystem::temp_directory_path() / "jygateway-XXXXXX";
+        folder_ = ::mkdtemp(pattern.data());
+    }
+
+    ~GatewayFleet()
+    {
+        instances.clear();
+        if (backend_)
+            backend_->stop();
+        std::filesystem::remove_all(folder_);
+    }
+
+    void start(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            startOne();
+    }
+
+    Instance &startOne()
+    {
+        auto &instance = instances.emplace_back();
+        instance.caller = freeEndpoint(loop_);
+        instance.directory = freeEndpoint(loop_);
+        instance.readiness = freeEndpoint(loop_);
+        instance.control = freeEndpoint(loop_);
+        const auto name = "g" + std::to_string(instances.size());
+        const auto file = folder_ + '/' + name + ".json";
+        std::ofstream settings(file);
+        settings << R"({"instance":{"id":")" << name << R"(","domain":"a","region":"r"},)"
+                 << R"("listen":{"caller":")" << toString(instance.caller) << R"(","directory":")"
+                 << toString(instance.directory) << R"(","readiness":")"
+                 << toString(instance.readiness) << R"(","control":")" << toString(instance.control)
+                 << R"(","peer":")" << toString(freeEndpoint(loop_)) << R"(","metrics":")"
+                 << toString(freeEndpoint(loop_)) << R"("},"store":")" << toString(store.endpoint())
+                 << R"(","seeds":[")" << toString(instances.front().control) << R"("]})";
+        settings.close();
+        instance.process = std::make_unique<bench::ChildProcess>(
+            JY_BINARY_DIR "/jygateway", std::vector<std::string>{"--settings=" + file},
+            folder_ + '/' + name + ".log");
+        return instance;
+    }
+
+    void configure(int version, const std::string &prefix = "/a/")
+    {
+        store.put("op/config",
+                  R"({"version":)" + std::to_string(version)
+                      + R"(,"routes":[{"name":"r","host":"h","prefix":")" + prefix
+                      + R"(","route_kind":"unsafe","service":"s","timeout_ms":3000,)"
+                        R"("max_attempts":1}],"services":[{"name":"s"}],"limits":{}})");
+    }
+
+    void addBackend(HttpHandler handler)
+    {
+        backend_ = HttpServer::create(loop_, {}, std::move(handler)).value();
+        store.put("servers/i-1",
+                  R"({"service":"s","address":")" + toString(backend_->localEndpoint())
+                      + R"(","zone":"a","version":"v1","slots":6,"state":"ready"})");
+    }
+
+    /** A backend server that answers at once and counts. */
+    void addBackend(int &runs)
+    {
+        addBackend([&runs](const HttpRequest &request, HttpResponder &out) {
+            ++runs;
+            out.send(200, seal(request), "done");
+        });
+    }
+
+    static HttpHeaders seal(const HttpRequest &request)
+    {
+        return {{"Jacinthyoke-Replica-Seal", "s"},
+                {"Jacinthyoke-Attempt-Id",
+                 std::string(request.headers.value("Jacinthyoke-Attempt-Id"))}};
+    }
+
+    int call(const Instance &instance, const std::string &path = "/a/x")
+    {
+        const auto response = client_->request(
+            instance.caller,
+            {.method = "POST",
+             .target = path,
+             .headers = {{"Host", "h"}, {"Jacinthyoke-Attempt-Id", std::to_string(++lastId_)}}},
+            seconds(5), {.freshConnection = true, .keepHost = true});
+        return response ? response.value().status : 0;
+    }
+
+    bool ready(const Instance &instance)
+    {
+        const auto response =
+            client_->request(instance.readiness, {.target = "/jacinthyoke/readiness"}, seconds(1));
+        return response && response.value().status == 200;
+    }
+
+    bool allReady()
+    {
+        return std::ranges::all_of(instances,
+                                   [this](const Instance &instance) { return ready(instance); });
+    }
+
+    /** Number of addresses that the directory of an instance names. */
+    std::size_t addresses(const Instance &instance)
+    {
+        const auto response = client_->request(
+            instance.directory, {.target = "/jacinthyoke/resolve?name=h&zone=a"}, seconds(1));
+        if (!response || response.value().status != 200)
+            return 0;
+        const auto &body = response.value().body;
+        return static_cast<std::size_t>(std::ranges::count(body, '.')) / 3;
+    }
+
+    StandinStore store;
+    std::deque<Instance> instances;
+
+private:
+    EventLoop &loop_;
+    std::unique_ptr<HttpClient> client_;
+    std::unique_ptr<HttpServer> backend_;
+    std::string folder_;
+    int lastId_ = 0;
+};
+
+void withFleet(const std::function<void(GatewayFleet &)> &body)
+{
+    EventLoop loop;
+    loop.run([&] {
+        GatewayFleet fleet(loop);
+        body(fleet);
+    });
+}
+
+TEST(GatewayProcessTest, KilledInstanceLeavesTheDirectory)
+{
+    withFleet([](GatewayFleet &fleet) {
+        int runs = 0;
+        fleet.addBackend(runs);
+        fleet.configure(1);
+        fleet.start(3);
+        ASSERT_TRUE(within(startBound, [&] { return fleet.allReady(); }));
+        EXPECT_TRUE(within(configBound, [&] { return fleet.addresses(fleet.instances[0]) == 3; }));
+        for (const auto &instance : fleet.instances)
+            EXPECT_EQ(fleet.call(instance), 200);
+        EXPECT_EQ(runs, 3);
+        fleet.instances[2].process->kill();
+        EXPECT_TRUE(
+            within(directoryBound, [&] { return fleet.addresses(fleet.instances[0]) == 2; }));
+    });
+}
+
+TEST(GatewayProcessTest, OutageOfTheStoreStopsNobody)
+{
+    withFleet([](GatewayFleet &fleet) {
+        int runs = 0;
+        fleet.addBackend(runs);
+        fleet.configure(1);
+        fleet.start(2);
+        ASSERT_TRUE(within(startBound, [&] { return fleet.allReady(); }));
+        fleet.store.setDown(true);
+        EventLoop::sleepFor(seconds(2));
+        for (const auto &instance : fleet.instances)
+            EXPECT_EQ(fleet.call(instance), 200);
+        // An instance that starts now has only its peers to ask.
+        auto &late = fleet.startOne();
+        EXPECT_TRUE(within(startBound, [&] { return fleet.call(late) == 200; }));
+        fleet.store.setDown(false);
+        fleet.configure(2, "/b/");
+        EXPECT_TRUE(within(configBound + seconds(1), [&] {
+            return std::ranges::all_of(fleet.instances, [&](const auto &instance) {
+                return fleet.call(instance, "/b/x") == 200 && fleet.call(instance) == 404;
+            });
+        }));
+    });
+}
+
+TEST(GatewayProcessTest, ForgottenHistoryHidesNoChange)
+{
+    withFleet([](GatewayFleet &fleet) {
+        int runs = 0;
+        fleet.addBackend(runs);
+        fleet.configure(1);
+        fleet.start(4);
+        ASSERT_TRUE(within(startBound, [&] { return fleet.allReady(); }));
+        fleet.store.put("servers/i-1", "unreadable");
+        fleet.store.forgetHistory();
+        EXPECT_TRUE(within(configBound, [&] {
+            return std::ranges::all_of(
+                fleet.instances, [&](const auto &instance) { return fleet.call(instance) == 503; });
+        }));
+    });
+}
+
+TEST(GatewayProcessTest, GracefulShutdownFinishesRunningRequests)
+{
+    withFleet([](GatewayFleet &fleet) {
+        fleet.addBackend([](const HttpRequest &request, HttpResponder &out) {
+            EventLoop::sleepFor(milliseconds(1500));
+            out.send(200, GatewayFleet::seal(request), "done");
+        });
+        fleet.configure(1);
+        fleet.start(1);
+        ASSERT_TRUE(within(startBound, [&] { return fleet.allReady(); }));
+        auto &instance = fleet.instances[0];
+        int status = 0;
+        EventLoop::spawn([&] { status = fleet.call(instance); });
+        EventLoop::sleepFor(milliseconds(200));
+        instance.process->terminate();
+        EventLoop::sleepFor(milliseconds(100));
+        EXPECT_FALSE(fleet.ready(instance));
+        EXPECT_EQ(instance.process->waitForExit(seconds(8)), 0);
+        EXPECT_TRUE(within(seconds(1), [&] { return status != 0; }));
+        EXPECT_EQ(status, 200);
+        EXPECT_EQ(fleet.store.count("instances/"), 0U);
+    });
+}
+
+// Calls to the store must not grow with the fleet.
+TEST(GatewayProcessTest, FewInstancesReadTheStore)
+{
+    withFleet([](GatewayFleet &fleet) {
+        constexpr std::size_t count = 10;
+        fleet.configure(1);
+        fleet.start(count);
+        ASSERT_TRUE(within(startBound, [&] { return fleet.allReady(); }));
+        EventLoop::sleepFor(seconds(3));
+        fleet.store.takeCalls();
+        EventLoop::sleepFor(seconds(3));
+        // Three readers with a watch of 0.6 s, and a renewal of each lease every 1.3 s.
+        const double watches = 3 * 3 / 0.6;
+        const double renewals = count * 3 / 1.3;
+        EXPECT_LE(static_cast<double>(fleet.store.takeCalls()), (watches + renewals) * 1.3);
+    });
+}
+
+} // namespace
+
+} // namespace jy::platform::test
--- /dev/null
+++ b/tests/platform/StandinStore.cpp
@@ -0,0 +1,248 @@
+#include "StandinStore.h"
+
+#include "platform/JsonReader.h"
+#include "platform/WireNames.h"
+
+#include <absl/strings/escaping.h>
+#include <boost/json/serialize.hpp>
+
+#include <mutex>
+
+namespace jy::platform::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr milliseconds expiryPeriod{50};
+
+std::string parameter(const HttpRequest &request, std::string_view name)
+{
+    return request.queryParameter(name).value_or("");
+}
+
+void answer(HttpResponder &responder, const boost::json::object &body)
+{
+    responder.send(200, {{"Content-Type", "application/json"}}, boost::json::serialize(body));
+}
+
+std::uint64_t idBehind(std::string_view path, std::string_view prefix)
+{
+    return std::stoull(std::string(path.substr(prefix.size())));
+}
+
+} // namespace
+
+StandinStore::StandinStore(EventLoop &loop)
+    : server_(HttpServer::create(loop, {}, [this](const auto &request, auto &responder) {
+                  handle(request, responder);
+              }).value())
+{
+    EventLoop::spawn([this, stopped = stopped_] {
+        while (!*stopped) {
+            expireLeases();
+            EventLoop::sleepFor(expiryPeriod);
+        }
+    });
+}
+
+StandinStore::~StandinStore()
+{
+    *stopped_ = true;
+    server_->stop();
+}
+
+void StandinStore::put(const std::string &key, const std::string &value)
+{
+    write(key, {value, 0, 0}, false);
+}
+
+void StandinStore::remove(const std::string &key)
+{
+    write(key, {}, true);
+}
+
+void StandinStore::setDown(bool down)
+{
+    down_ = down;
+    const std::lock_guard lock(mutex_);
+    changed_.notify_all();
+}
+
+void StandinStore::forgetHistory()
+{
+    history_.clear();
+    historyStart_ = ++revision_;
+    const std::lock_guard lock(mutex_);
+    changed_.notify_all();
+}
+
+std::size_t StandinStore::count(const std::string &prefix) const
+{
+    std::size_t found = 0;
+    for (const auto &[key, item] : items_)
+        found += key.starts_with(prefix) ? 1 : 0;
+    return found;
+}
+
+std::uint64_t StandinStore::takeCalls()
+{
+    return std::exchange(calls_, 0);
+}
+
+void StandinStore::handle(const HttpRequest &request, HttpResponder &responder)
+{
+    ++calls_;
+    const auto path = request.path();
+    if (down_)
+        responder.send(503, {}, "");
+    else if (path == wire::rangePath)
+        range(request, responder);
+    else if (path == wire::watchPath)
+        watch(request, responder);
+    else if (path == wire::transactionPath)
+        transaction(request, responder);
+    else
+        lease(request, responder);
+}
+
+void StandinStore::range(const HttpRequest &request, HttpResponder &responder)
+{
+    boost::json::array items;
+    const auto after = parameter(request, "after");
+    for (const auto &[key, item] : items_) {
+        if (key.starts_with(parameter(request, "prefix")) && key > after)
+            items.push_back(boost::json::object{{"key", key},
+                                                {"value", absl::Base64Escape(item.value)},
+                                                {"revision", item.revision},
+                                                {"lease", item.lease}});
+    }
+    answer(responder, {{"items", std::move(items)}, {"truncated", false}, {"as_of", revision_}});
+}
+
+void StandinStore::watch(const HttpRequest &request, HttpResponder &responder)
+{
+    const auto after = std::stoull(parameter(request, "after"));
+    const auto deadline = Clock::now() + milliseconds(std::stoll(parameter(request, "wait_ms")));
+    {
+        std::unique_lock lock(mutex_);
+        changed_.wait_until(lock, deadline,
+                            [&] { return down_ || after < historyStart_ || revision_ > after; });
+    }
+    if (down_) {
+        responder.send(503, {}, "");
+        return;
+    }
+    if (after < historyStart_) {
+        responder.send(410, {}, "");
+        return;
+    }
+    boost::json::array events;
+    for (const auto &change : history_) {
+        if (change.item.revision <= after)
+            continue;
+        boost::json::object event{{"key", change.key}, {"revision", change.item.revision}};
+        if (change.removed)
+            event["tombstone"] = true;
+        else
+            event["value"] = absl::Base64Escape(change.item.value);
+        events.push_back(std::move(event));
+    }
+    answer(responder, {{"events", std::move(events)}, {"as_of", revision_}});
+}
+
+void StandinStore::transaction(const HttpRequest &request, HttpResponder &responder)
+{
+    const auto body = parseObject(request.body);
+    if (!body) {
+        responder.send(400, {}, "");
+        return;
+    }
+    for (const auto &entry : body->at("expected_revision").as_array()) {
+        const auto found = items_.find(std::string(entry.at("key").as_string()));
+        const auto revision = found == items_.end() ? 0 : found->second.revision;
+        if (revision != entry.at("revision").to_number<std::uint64_t>()) {
+            responder.send(412, {}, R"({"items":[]})");
+            return;
+        }
+    }
+    for (const auto &entry : body->at("writes").as_array()) {
+        Item item;
+        absl::Base64Unescape(std::string(entry.at("value").as_string()), &item.value);
+        if (const auto *id = entry.as_object().if_contains("lease"))
+            item.lease = id->to_number<std::uint64_t>();
+        if (item.lease != 0 && !leases_.contains(item.lease)) {
+            responder.send(404, {}, "");
+            return;
+        }
+        write(std::string(entry.at("key").as_string()), std::move(item), false);
+    }
+    for (const auto &entry : body->at("deletes").as_array())
+        write(std::string(entry.as_string()), {}, true);
+    answer(responder, {{"revision", revision_}});
+}
+
+void StandinStore::lease(const HttpRequest &request, HttpResponder &responder)
+{
+    const auto path = request.path();
+    if (path == wire::leasePath) {
+        const auto body = parseObject(request.body);
+        const milliseconds lifetime(body ? body->at("ttl_ms").to_number<int>() : 0);
+        leases_[++nextLease_] = {lifetime, Clock::now() + lifetime};
+        answer(responder, {{"lease", nextLease_}, {"ttl_ms", lifetime.count()}});
+        return;
+    }
+    const bool keep = path.starts_with(wire::keepPath);
+    const auto id = idBehind(path, keep ? wire::keepPath : wire::leaseEndPath);
+    const auto found = leases_.find(id);
+    if (found == leases_.end()) {
+        responder.send(404, {}, "");
+        return;
+    }
+    if (keep)
+        found->second.ends = Clock::now() + found->second.lifetime;
+    else
+        endLease(id);
+    answer(responder, {});
+}
+
+void StandinStore::endLease(std::uint64_t id)
+{
+    leases_.erase(id);
+    std::vector<std::string> keys;
+    for (const auto &[key, item] : items_) {
+        if (item.lease == id)
+            keys.push_back(key);
+    }
+    for (const auto &key : keys)
+        write(key, {}, true);
+}
+
+void StandinStore::expireLeases()
+{
+    const auto now = Clock::now();
+    std::vector<std::uint64_t> ended;
+    for (auto &[id, lease] : leases_) {
+        if (down_)
+            lease.ends += expiryPeriod;
+        else if (lease.ends <= now)
+            ended.push_back(id);
+    }
+    for (const auto id : ended)
+        endLease(id);
+}
+
+void StandinStore::write(const std::string &key, Item item, bool removed)
+{
+    item.revision = ++revision_;
+    history_.push_back({key, item, removed});
+    if (removed)
+        items_.erase(key);
+    else
+        items_[key] = std::move(item);
+    const std::lock_guard lock(mutex_);
+    changed_.notify_all();
+}
+
+} // namespace jy::platform::test
--- /dev/null
+++ b/tests/platform/StandinStore.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "jy_http/jy_http.h"
+#include "jy_runtime/jy_runtime.h"
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace jy::platform::test {
+
+/** The platform's store on loopback, inside the test's process, as far as gateways use it. */
+class StandinStore
+{
+public:
+    explicit StandinStore(EventLoop &loop);
+    ~StandinStore();
+
+    Endpoint endpoint() const { return server_->localEndpoint(); }
+
+    /** Writes as operators and backend servers do. */
+    void put(const std::string &key, const std::string &value);
+    void remove(const std::string &key);
+
+    /** While down, every call is answered 503. Leases pause. */
+    void setDown(bool down);
+
+    /** Drops the history, so that every watch has to start with a list. */
+    void forgetHistory();
+
+    /** Keys that begin with @p prefix. */
+    std::size_t count(const std::string &prefix) const;
+
+    /** Calls since the last question. */
+    std::uint64_t takeCalls();
+
+private:
+    struct Item
+    {
+        std::string value;
+        std::uint64_t revision = 0;
+        std::uint64_t lease = 0;
+    };
+
+    struct Change
+    {
+        std::string key;
+        Item item;
+        bool removed = false;
+    };
+
+    struct Lease
+    {
+        std::chrono::milliseconds lifetime{0};
+        TimePoint ends;
+    };
+
+    void handle(const HttpRequest &request, HttpResponder &responder);
+    void range(const HttpRequest &request, HttpResponder &responder);
+    void watch(const HttpRequest &request, HttpResponder &responder);
+    void transaction(const HttpRequest &request, HttpResponder &responder);
+    void lease(const HttpRequest &request, HttpResponder &responder);
+    void endLease(std::uint64_t id);
+    void expireLeases();
+    void write(const std::string &key, Item item, bool removed);
+
+    std::map<std::string, Item> items_;
+    std::deque<Change> history_;
+    std::uint64_t historyStart_ = 1;
+    std::uint64_t revision_ = 1;
+    std::map<std::uint64_t, Lease> leases_;
+    std::uint64_t nextLease_ = 100;
+    std::uint64_t calls_ = 0;
+    bool down_ = false;
+    std::shared_ptr<bool> stopped_ = std::make_shared<bool>(false);
+    boost::fibers::mutex mutex_;
+    boost::fibers::condition_variable changed_;
+    std::unique_ptr<HttpServer> server_;
+};
+
+} // namespace jy::platform::test
