Keep prompts in use at their server when others join

Change: an instance remembers for 20 s which server answered a prefix and prefers it while its load allows. Conclusion: kept; the gain is small on small fleets and needs prefixes that one instance sees again within 20 s.

--- a/modules/jy_gateway/placement/ServerChooser.cpp
+++ b/modules/jy_gateway/placement/ServerChooser.cpp
@@ -34,8 +34,8 @@
     auto candidates = usable(query, now, result);
     if (candidates.empty())
         return result;
-    auto chosen =
-        query.affinity != 0 ? chooseHome(candidates) : chooseLeastLoaded(candidates, draw);
+    auto chosen = query.affinity != 0 ? chooseHome(candidates, query.remembered)
+                                      : chooseLeastLoaded(candidates, draw);
     chosen.candidates = candidates.size();
     const auto *server = fleet_.findServer(chosen.server);
     if (server && server->coldUntil > now)
@@ -101,9 +101,11 @@
     return *median;
 }
 
-Placement ServerChooser::chooseHome(std::vector<Candidate> &candidates) const
+Placement ServerChooser::chooseHome(std::vector<Candidate> &candidates, const ServerId &remembered)
 {
-    std::ranges::sort(candidates, std::ranges::greater(), &Candidate::rank);
+    std::ranges::sort(candidates, std::ranges::greater(), [&](const Candidate &candidate) {
+        return std::pair(candidate.server->listed.id == remembered, candidate.rank);
+    });
     double sum = 0;
     for (const auto &candidate : candidates)
         sum += candidate.load;
--- a/modules/jy_gateway/placement/ServerChooser.h
+++ b/modules/jy_gateway/placement/ServerChooser.h
@@ -19,6 +19,9 @@
     /** Hash of the shared part of the prompt; 0 for requests without one. */
     std::uint64_t affinity = 0;
 
+    /** Server that is known to have that part cached; goes before the ranking. May be empty. */
+    ServerId remembered;
+
     /** Servers that this request was already sent to. */
     std::set<ServerId> tried;
 };
@@ -94,7 +97,7 @@
     std::vector<Candidate> usable(const PlacementQuery &query, TimePoint now, Placement &why);
     /** Failure rate of the median server, which failures that all share raise too. */
     double usualFailureRate(const std::vector<const ServerState *> &servers, TimePoint now) const;
-    Placement chooseHome(std::vector<Candidate> &candidates) const;
+    static Placement chooseHome(std::vector<Candidate> &candidates, const ServerId &remembered);
     static Placement chooseLeastLoaded(const std::vector<Candidate> &candidates, double draw);
 
     const FleetView &fleet_;
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -68,6 +68,8 @@
 {
     query_.service = pickService(route, relay.draw());
     query_.affinity = route.cachesPrompts ? affinityOf(facts.prompt) : 0;
+    if (query_.affinity != 0)
+        query_.remembered = relay.homes_.find(query_.affinity, start);
 }
 
 RelayOutcome RelayExchange::run()
@@ -252,6 +254,8 @@
         if (!answerBegan_) {
             answerBegan_ = true;
             relay_.dependencies_.loads.answerBegan(server);
+            if (query_.affinity != 0)
+                relay_.homes_.remember(query_.affinity, server, Clock::now());
         }
         const auto events = events_.add(part.value());
         if (events.empty())
--- a/modules/jy_gateway/relay/RequestRelay.h
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -2,6 +2,7 @@
 
 #include "jy_core/limits/RetryBudget.h"
 #include "jy_gateway/adapter/CallerProtocol.h"
+#include "jy_gateway/placement/HomeMemory.h"
 #include "jy_gateway/placement/ServerChooser.h"
 #include "jy_gateway/relay/LogBudget.h"
 #include "jy_http/client/HttpClient.h"
@@ -96,6 +97,7 @@
     std::mt19937_64 random_;
     std::uniform_real_distribution<double> uniform_{0.0, 1.0};
     std::map<ServiceId, RetryBudget> budgets_;
+    HomeMemory homes_;
     LogBudget answeredLines_;
     LogBudget failedLines_;
 };
--- a/tests/jy_gateway/ServerChooserTest.cpp
+++ b/tests/jy_gateway/ServerChooserTest.cpp
@@ -1,5 +1,6 @@
 #include "FleetFixture.h"
 
+#include "jy_gateway/placement/HomeMemory.h"
 #include "jy_gateway/placement/ServerChooser.h"
 
 #include <gtest/gtest.h>
@@ -52,6 +53,34 @@
     }
 }
 
+// Servers that joined took over a part of all prefixes and had to read them.
+TEST(ServerChooserTest, PrefixInUseStaysWhenServersJoin)
+{
+    Instance instance;
+    instance.add(5, engines);
+    HomeMemory memory;
+    for (std::uint64_t prefix = 1; prefix < 100; ++prefix)
+        memory.remember(prefix, instance.choose(engines, prefix).server, start);
+    instance.add(20, engines);
+    for (std::uint64_t prefix = 1; prefix < 100; ++prefix) {
+        const PlacementQuery query{.service = engines,
+                                   .affinity = prefix,
+                                   .remembered = memory.find(prefix, start + seconds(5))};
+        EXPECT_EQ(instance.chooser.choose(query, 0, start).server, query.remembered);
+    }
+    EXPECT_TRUE(memory.find(1, start + seconds(30)).empty());
+}
+
+TEST(ServerChooserTest, MemoryOfHomesIsBounded)
+{
+    HomeMemory memory;
+    for (std::uint64_t prefix = 0; prefix < 20'000; ++prefix)
+        memory.remember(prefix, ServerId("s"), start);
+    EXPECT_LE(memory.size(), HomeMemory::maxEntries);
+    memory.remember(99'999, ServerId("s"), start + seconds(60));
+    EXPECT_EQ(memory.size(), 1U);
+}
+
 TEST(ServerChooserTest, BusyPrefixSpillsToTheNextInRank)
 {
     Instance instance;
