Drop fields named by Connection; log a lost registration once

Cause: reading the change as a newcomer. A message may name further fields of one connection, which passed; a registration that fails was logged three times a second; the remaining wait of a request stood four times; a refusal for cold servers lost its kind.

--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -1,3 +1,5 @@
+// Registry and peers of Gateway; its life cycle and its servers are in Gateway.cpp.
+
 #include "jy_gateway/assembly/Gateway.h"
 #include "jy_gateway/peers/BeatCodec.h"
 #include "jy_gateway/registry/InstanceEntry.h"
--- a/modules/jy_gateway/registry/Registration.cpp
+++ b/modules/jy_gateway/registry/Registration.cpp
@@ -5,16 +5,6 @@
 
 namespace jy {
 
-namespace {
-
-void logFailure(std::string_view event, const Error &error)
-{
-    logEvent(LogLevel::Warn, event,
-             {{"kind", answerFor(error.kind).name}, {"reason", error.message}});
-}
-
-} // namespace
-
 Registration::Registration(const SharedStore &store, std::string key, std::string value,
                            RegistrationSettings settings)
     : store_(store)
@@ -29,7 +19,7 @@
         if (lease_ == 0) {
             const auto entered = enter();
             if (!entered) {
-                logFailure("registration-failed", entered.error());
+                noteFailure("registration-failed", entered.error());
                 stop.sleepFor(settings_.retryPause);
                 continue;
             }
@@ -38,9 +28,11 @@
         if (stop.stopRequested() || withdrawn_)
             return;
         const auto renewed = store_.renewLease(lease_);
-        if (renewed)
+        if (renewed) {
+            failing_ = false;
             continue;
-        logFailure("lease-not-renewed", renewed.error());
+        }
+        noteFailure("lease-not-renewed", renewed.error());
         if (renewed.error().kind == ErrorKind::LeaseLost)
             lease_ = 0;
     }
@@ -53,7 +45,16 @@
         return;
     const auto ended = store_.endLease(lease_);
     if (!ended)
-        logFailure("lease-not-ended", ended.error());
+        noteFailure("lease-not-ended", ended.error());
+}
+
+void Registration::noteFailure(std::string_view event, const Error &error)
+{
+    // One line for each time that the entry is in danger, not for each call.
+    if (!failing_)
+        logEvent(LogLevel::Warn, event,
+                 {{"kind", answerFor(error.kind).name}, {"reason", error.message}});
+    failing_ = true;
 }
 
 Result<void> Registration::enter()
@@ -63,6 +64,7 @@
     transaction.writes.push_back({key_, value_, lease.id});
     BOOST_OUTCOME_TRY(const auto revision, store_.commit(transaction));
     lease_ = lease.id;
+    failing_ = false;
     logEvent(LogLevel::Info, "registered", {{"lease", lease.id}, {"revision", revision}});
     return success();
 }
--- a/modules/jy_gateway/registry/Registration.h
+++ b/modules/jy_gateway/registry/Registration.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <string>
+#include <string_view>
 
 namespace jy {
 
@@ -34,6 +35,7 @@
 
 private:
     Result<void> enter();
+    void noteFailure(std::string_view event, const Error &error);
 
     const SharedStore &store_;
     std::string key_;
@@ -41,6 +43,7 @@
     RegistrationSettings settings_;
     std::uint64_t lease_ = 0;
     bool withdrawn_ = false;
+    bool failing_ = false;
 };
 
 } // namespace jy
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -21,6 +21,8 @@
 constexpr int attemptTargets = 2;
 constexpr milliseconds shortestAttempt{250};
 
+constexpr int unavailableStatus = 503;
+
 // Servers that one request may fail to connect to.
 constexpr int maxConnects = 4;
 
@@ -122,8 +124,8 @@
     HttpCallOptions options;
     options.cancellation = responder_.cancellation();
     options.keepHost = true;
-    options.isOwnResponse = [this](int, const HttpHeaders &headers) {
-        const auto answer = relay_.dependencies_.protocol.describeAnswer(200, headers);
+    options.isOwnResponse = [this](int status, const HttpHeaders &headers) {
+        const auto answer = relay_.dependencies_.protocol.describeAnswer(status, headers);
         return answer.requestId.empty() || answer.requestId == facts_.id.value();
     };
     dependencies.loads.start(listed.id);
@@ -142,8 +144,7 @@
 {
     ForwardFacts forward;
     forward.server = server.listed.id;
-    forward.timeLeft =
-        std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(timeLeft()));
+    forward.timeLeft = remainingWait();
     forward.workspace = workspace_;
     forward.lastEventId = events_.lastId().empty() ? facts_.lastEventId : events_.lastId();
     if (route_.cachesPrompts)
@@ -205,8 +206,7 @@
 {
     HttpResponse response{stream.status(), stream.headers(), {}};
     while (true) {
-        auto part =
-            stream.readSome(std::max(milliseconds(1), std::chrono::ceil<milliseconds>(timeLeft())));
+        auto part = stream.readSome(remainingWait());
         if (!part)
             return fail(part.error(), server);
         if (part.value().empty())
@@ -241,7 +241,7 @@
 {
     mayHaveRun_ = true;
     while (true) {
-        auto wait = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(timeLeft()));
+        auto wait = remainingWait();
         if (isResumable())
             wait = std::min(wait, relay_.settings_.resumeSilence);
         auto part = stream.readSome(wait);
@@ -327,7 +327,9 @@
             answered.kind = ErrorKind::BackendBroken;
         answered.retryAfter = {};
     } else {
-        answered.kind = ErrorKind::NoCapacity;
+        // Nothing was sent, or the servers stated that nothing ran: callers may return.
+        if (answerFor(error.kind).httpStatus != unavailableStatus)
+            answered.kind = ErrorKind::NoCapacity;
         if (answered.retryAfter.count() == 0)
             answered.retryAfter = retryAfter(PlacementReason::NoServer);
     }
@@ -348,9 +350,14 @@
     return deadline_ - Clock::now();
 }
 
+milliseconds RelayExchange::remainingWait() const
+{
+    return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(timeLeft()));
+}
+
 milliseconds RelayExchange::attemptTimeout() const
 {
-    const auto left = std::max(milliseconds(1), std::chrono::ceil<milliseconds>(timeLeft()));
+    const auto left = remainingWait();
     if (!route_.repeatable() || sentTo_ + 1 >= route_.maxAttempts)
         return left;
     return std::min(left, std::max(shortestAttempt, attemptTargets * route_.latencyTarget));
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -42,6 +42,9 @@
     void record(const ServerId &server, ServerOutcome outcome);
 
     Duration timeLeft() const;
+
+    /** Time left, at least a millisecond: a wait of zero would not see what has already arrived. */
+    std::chrono::milliseconds remainingWait() const;
     std::chrono::milliseconds attemptTimeout() const;
     bool isResumable() const;
 
--- a/modules/jy_http/wire/HeadWriter.cpp
+++ b/modules/jy_http/wire/HeadWriter.cpp
@@ -19,6 +19,24 @@
         hopFields, [name](std::string_view hop) { return equalsIgnoringCase(hop, name); });
 }
 
+// A message may name further fields of one connection in its Connection field.
+bool isNamedByConnection(const HttpHeaders &headers, std::string_view name)
+{
+    auto rest = headers.value("Connection");
+    while (!rest.empty()) {
+        const auto end = std::min(rest.find(','), rest.size());
+        auto word = rest.substr(0, end);
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+        while (word.starts_with(' '))
+            word.remove_prefix(1);
+        while (word.ends_with(' '))
+            word.remove_suffix(1);
+        if (equalsIgnoringCase(word, name))
+            return true;
+    }
+    return false;
+}
+
 bool isTokenCharacter(char c)
 {
     return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z')
@@ -70,7 +88,8 @@
     for (const auto &[name, value] : request.headers) {
         if (!isValidField(name, value))
             return failure(ErrorKind::BadRequest, "a header field contains invalid characters");
-        if (!isHopField(name) && !equalsIgnoringCase(name, "Host"))
+        const bool hop = isHopField(name) || isNamedByConnection(request.headers, name);
+        if (!hop && !equalsIgnoringCase(name, "Host"))
             appendField(out, name, value);
     }
     if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
@@ -84,7 +103,8 @@
     std::string out = "HTTP/1.1 " + std::to_string(status) + ' ';
     out.append(reasonPhrase(status)).append("\r\n");
     for (const auto &[name, value] : headers) {
-        if (!isHopField(name) && isValidField(name, value))
+        const bool hop = isHopField(name) || isNamedByConnection(headers, name);
+        if (!hop && isValidField(name, value))
             appendField(out, name, value);
     }
     if (framing == BodyFraming::Length)
