Take the ports of test gateways from below the ephemeral range

Free ports were found by binding port 0, so the kernel could give them to an outgoing connection before the gateway bound them; the logs say 'cannot listen on 127.0.0.1:33255: Address already in use'. Ruled out: the gateway (it ended with that line) and load: six plays side by side failed three times, each with such a line. After: six side by side passed. On a failure the test prints what the ended instances wrote. Conclusion: a fault of the test's set-up; its checks and bounds are unchanged.

--- a/tests/platform/GatewayProcessTest.cpp
+++ b/tests/platform/GatewayProcessTest.cpp
@@ -5,10 +5,14 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <unistd.h>
 
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 
 namespace jy::platform::test {
 
@@ -23,11 +27,32 @@
 constexpr seconds configBound{2};
 constexpr seconds startBound{12};
 
+// Below the ports that the kernel gives to outgoing connections, which would take a free port
+// before the program binds it; test programs that run at the same time start at different ports.
+constexpr int lowestPort = 12'000;
+constexpr int highestPort = 32'000;
+
+bool isFree(EventLoop &loop, std::uint16_t port)
+{
+    const auto address = boost::asio::ip::make_address("127.0.0.1");
+    boost::system::error_code error;
+    boost::asio::ip::tcp::acceptor acceptor(loop.io());
+    acceptor.open(boost::asio::ip::tcp::v4());
+    acceptor.bind({address, port}, error);
+    boost::asio::ip::udp::socket socket(loop.io(), boost::asio::ip::udp::v4());
+    if (!error)
+        socket.bind({address, port}, error);
+    return !error;
+}
+
 Endpoint freeEndpoint(EventLoop &loop)
 {
-    boost::asio::ip::tcp::acceptor acceptor(loop.io(),
-                                            {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
+    constexpr int portsPerProcess = 200;
+    static int next =
+        lowestPort + ::getpid() * portsPerProcess % (highestPort - lowestPort - portsPerProcess);
+    while (!isFree(loop, static_cast<std::uint16_t>(next)))
+        ++next;
+    return {"127.0.0.1", static_cast<std::uint16_t>(next++)};
 }
 
 bool within(std::chrono::milliseconds time, const std::function<bool()> &condition)
@@ -65,6 +90,8 @@
 
     ~GatewayFleet()
     {
+        if (testing::Test::HasFailure())
+            printEnded();
         instances.clear();
         if (backend_)
             backend_->stop();
@@ -173,6 +200,18 @@
     std::deque<Instance> instances;
 
 private:
+    /** Shows what the instances wrote that ended by themselves. */
+    void printEnded()
+    {
+        for (std::size_t i = 0; i < instances.size(); ++i) {
+            if (instances[i].process->running())
+                continue;
+            const auto name = "g" + std::to_string(i + 1);
+            std::cout << name << " ended:\n"
+                      << std::ifstream(folder_ + '/' + name + ".log").rdbuf();
+        }
+    }
+
     EventLoop &loop_;
     std::unique_ptr<HttpClient> client_;
     std::unique_ptr<HttpServer> backend_;
