Copy cached prompt prefixes between engines and spill short ones early

Change: a request at a server that probably has not cached its prefix names one that has (its home, or for a server that has just joined the one before it, also one that leaves), where a copy over the engines' links is quicker than reading. Prefixes of 600 tokens spill at 1.1 x mean + 1, long ones at the old bound, with a line between them, so that short ones even out the load.

The tests of the spill bound now name a long prefix, which is what they were written for.

--- a/modules/jy_gateway/adapter/CallerProtocol.h
+++ b/modules/jy_gateway/adapter/CallerProtocol.h
@@ -56,6 +56,9 @@
     /** Event after which a stream continues; empty at its start. */
     std::string lastEventId;
 
+    /** Engine from whose cache the shared parts of the prompt are copied, if it has them. */
+    std::optional<Endpoint> cacheSource;
+
     /** Rank at model engines; 0 is the most urgent. */
     std::optional<int> priority;
 };
--- a/modules/jy_gateway/model/RoutingConfig.h
+++ b/modules/jy_gateway/model/RoutingConfig.h
@@ -89,6 +89,11 @@
 
     /** Tokens that the cache of one model engine holds; 0 for plain services. */
     std::int64_t cacheTokens = 0;
+
+    /** Size of one cached token, and bandwidth of the links between engines; 0 when engines cannot
+     * copy from each other's caches. */
+    std::int64_t cacheTokenBytes = 0;
+    double cacheLinkMbps = 0;
 };
 
 /** Bounds on what callers may send. */
--- a/modules/jy_gateway/placement/ServerChooser.cpp
+++ b/modules/jy_gateway/placement/ServerChooser.cpp
@@ -22,6 +22,9 @@
 constexpr double leastSpillFactor = 1.25;
 constexpr double leastSpillSlack = 1.0;
 
+// Servers that started within this time of each other, in ms, started together.
+constexpr std::int64_t sameStartMs = 1000;
+
 // Requests that a plain service may queue beyond its slots before it is taken for full.
 constexpr double queuedPerSlot = 2.0;
 
@@ -41,9 +44,11 @@
     auto candidates = usable(query, now, result);
     if (candidates.empty())
         return result;
-    auto chosen = query.affinity != 0 ? chooseHome(candidates, query.remembered)
-                                      : chooseLeastLoaded(candidates, draw);
+    auto chosen =
+        query.affinity != 0 ? chooseHome(candidates, query) : chooseLeastLoaded(candidates, draw);
     chosen.candidates = candidates.size();
+    if (copyPays(query))
+        findCachedCopy(candidates, query, now, chosen);
     const auto *server = fleet_.findServer(chosen.server);
     if (server && server->coldUntil > now)
         cold_.spend(chosen.server, now);
@@ -108,30 +113,94 @@
     return *median;
 }
 
-Placement ServerChooser::chooseHome(std::vector<Candidate> &candidates,
-                                    const ServerId &remembered) const
+void ServerChooser::rank(std::vector<Candidate> &candidates, const ServerId &remembered)
 {
     std::ranges::sort(candidates, std::ranges::greater(), [&](const Candidate &candidate) {
         return std::pair(candidate.server->listed.id == remembered, candidate.rank);
     });
+}
+
+Placement ServerChooser::chooseHome(std::vector<Candidate> &candidates,
+                                    const PlacementQuery &query) const
+{
+    rank(candidates, query.remembered);
     double sum = 0;
     for (const auto &candidate : candidates)
         sum += candidate.load;
     const double mean = (sum + 1) / static_cast<double>(candidates.size());
-    const double age = std::chrono::duration<double>(reportAge_).count();
-    const double factor = std::max(leastSpillFactor, spillFactor - age * factorPerSecond);
-    const double slack = std::max(leastSpillSlack, spillSlack - age * slackPerSecond);
-    const double bound = mean * factor + slack;
+    const double bound = spillBound(mean, query.sharedTokens);
     for (const auto &candidate : candidates) {
         if (candidate.load + candidate.penalty + 1 > bound || candidate.waiting >= waitingLimit)
             continue;
         const bool first = &candidate == &candidates.front();
-        return {candidate.server->listed.id,
-                first ? PlacementReason::Home : PlacementReason::Spilled, candidate.load};
+        return {.server = candidate.server->listed.id,
+                .reason = first ? PlacementReason::Home : PlacementReason::Spilled,
+                .load = candidate.load};
     }
     const auto least = std::ranges::min_element(
         candidates, {}, [](const Candidate &c) { return c.load + c.penalty; });
-    return {least->server->listed.id, PlacementReason::LeastLoaded, least->load};
+    return {.server = least->server->listed.id,
+            .reason = PlacementReason::LeastLoaded,
+            .load = least->load};
+}
+
+bool ServerChooser::copyPays(const PlacementQuery &query) const
+{
+    const auto *policy = fleet_.config() ? fleet_.config()->findService(query.service) : nullptr;
+    if (query.affinity == 0 || query.sharedTokens < shortPrefix || !policy
+        || policy->cacheLinkMbps <= 0)
+        return false;
+    constexpr double bitsPerByte = 8;
+    constexpr double bitsPerMsAndMbps = 1000;
+    const double copyPerToken = static_cast<double>(policy->cacheTokenBytes) * bitsPerByte
+        / (policy->cacheLinkMbps * bitsPerMsAndMbps);
+    return copyPerToken * tokensReadPerMs < 1;
+}
+
+void ServerChooser::findCachedCopy(std::vector<Candidate> &candidates, const PlacementQuery &query,
+                                   TimePoint now, Placement &placement) const
+{
+    for (const auto *server : fleet_.leaving(query.service)) {
+        if (!query.tried.contains(server->listed.id))
+            candidates.push_back(
+                {.server = server,
+                 .rank = rendezvousScore(query.affinity, server->listed.id.value())});
+    }
+    rank(candidates, query.remembered);
+    const auto *chosen = fleet_.findServer(placement.server);
+    const auto young = [&](const ServerState &server) { return now - server.since < youngTime; };
+    const auto joinedAfter = [](const ServerState &server, const ServerState &other) {
+        return server.listed.born > other.listed.born + sameStartMs;
+    };
+    bool before = true;
+    for (const auto &candidate : candidates) {
+        const auto &server = *candidate.server;
+        if (&server == chosen) {
+            before = false;
+            // A server in its place for long has cached the prefix itself.
+            if (!young(server) || server.listed.id == query.remembered)
+                return;
+            continue;
+        }
+        // A server that has just joined became the home of prefixes that the ones behind it have.
+        const bool hasCopy =
+            before ? !young(server) || !joinedAfter(server, *chosen) : joinedAfter(*chosen, server);
+        if (hasCopy && candidate.penalty == 0) {
+            placement.cachedAt = server.listed.id;
+            return;
+        }
+    }
+}
+
+double ServerChooser::spillBound(double meanLoad, std::int64_t sharedTokens) const
+{
+    const double age = std::chrono::duration<double>(reportAge_).count();
+    const double factor = std::max(leastSpillFactor, spillFactor - age * factorPerSecond);
+    const double slack = std::max(leastSpillSlack, spillSlack - age * slackPerSecond);
+    const double length = std::clamp(
+        static_cast<double>(sharedTokens - shortPrefix) / (longPrefix - shortPrefix), 0.0, 1.0);
+    return meanLoad * std::lerp(shortSpillFactor, factor, length)
+        + std::lerp(shortSpillSlack, slack, length);
 }
 
 Placement ServerChooser::chooseLeastLoaded(const std::vector<Candidate> &candidates, double draw)
@@ -147,7 +216,9 @@
     }
     const auto index = static_cast<std::size_t>(draw * static_cast<double>(equals.size()));
     const auto &chosen = *equals[std::min(index, equals.size() - 1)];
-    return {chosen.server->listed.id, PlacementReason::LeastLoaded, chosen.load};
+    return {.server = chosen.server->listed.id,
+            .reason = PlacementReason::LeastLoaded,
+            .load = chosen.load};
 }
 
 std::string_view toString(PlacementReason reason)
--- a/modules/jy_gateway/placement/ServerChooser.h
+++ b/modules/jy_gateway/placement/ServerChooser.h
@@ -19,6 +19,9 @@
     /** Hash of the shared part of the prompt; 0 for requests without one. */
     std::uint64_t affinity = 0;
 
+    /** Tokens of the shared parts, which a server that has not cached them must read. */
+    std::int64_t sharedTokens = 0;
+
     /** Server that is known to have that part cached; goes before the ranking. May be empty. */
     ServerId remembered;
 
@@ -43,6 +46,10 @@
 
     PlacementReason reason = PlacementReason::NoServer;
 
+    /** Server whose cache has the shared parts of the prompt while the chosen one probably has
+     * not; empty when there is none or a copy would take longer than reading them. */
+    ServerId cachedAt;
+
     /** Requests in flight at the chosen server before this one. */
     int load = 0;
 
@@ -56,11 +63,12 @@
  * Requests with a shared prompt prefix go to the server that ranks first by rendezvous hashing of
  * that prefix, or to the next one in rank while the load there exceeds a bound near the mean of the
  * service (consistent hashing with bounded loads), so that a prefix in heavy use spreads over the
- * same few servers on every instance. Other requests are short, so what other instances reported is
- * out of date when it arrives, and all instances would choose the same server by it: these requests
- * go to the server with the fewest own requests in flight, by chance among equals. Answers the load
- * of a few busy prefixes, of many instances before few servers, and of servers that fail part of
- * their requests.
+ * same few servers on every instance. The bound is tight for prefixes that are quickly read, so
+ * that these even out the load and leave room for long ones at their homes. Other requests are
+ * short, so what other instances reported is out of date when it arrives, and all instances would
+ * choose the same server by it: these requests go to the server with the fewest own requests in
+ * flight, by chance among equals. Answers the load of a few busy prefixes, of many instances before
+ * few servers, and of servers that fail part of their requests.
  */
 class ServerChooser
 {
@@ -71,12 +79,29 @@
     /** Requests above the relative bound that are accepted, so that small loads do not spill. */
     static constexpr double spillSlack = 2.5;
 
+    /** The same for prefixes of @ref shortPrefix tokens and less. */
+    static constexpr double shortSpillFactor = 1.1;
+    static constexpr double shortSpillSlack = 1.0;
+
+    /** Tokens that an engine reads in the time of a decoding step or two, 45 in a millisecond. */
+    static constexpr std::int64_t shortPrefix = 600;
+
+    /** Tokens whose reading takes a third of a latency target of 400 ms. */
+    static constexpr std::int64_t longPrefix = 6000;
+
     /**
      * Requests waiting for the start of their answer at which a prompt spills. An engine reads one
      * uncached prompt in 0.2 s, so the fourth one in a row misses targets of half a second.
      */
     static constexpr int waitingLimit = 4;
 
+    /** Time after its start in which a server may not have cached the prefixes that it is the home
+     * of; most are in use more often. */
+    static constexpr std::chrono::seconds youngTime{20};
+
+    /** Speed at which engines read prompts; what the fleet's configuration does not tell. */
+    static constexpr double tokensReadPerMs = 45;
+
     ServerChooser(const FleetView &fleet, const LoadTable &loads, const ServerHealth &health,
                   ColdAllowance &cold);
 
@@ -103,7 +128,15 @@
     std::vector<Candidate> usable(const PlacementQuery &query, TimePoint now, Placement &why);
     /** Failure rate of the median server, which failures that all share raise too. */
     double usualFailureRate(const std::vector<const ServerState *> &servers, TimePoint now) const;
-    Placement chooseHome(std::vector<Candidate> &candidates, const ServerId &remembered) const;
+    Placement chooseHome(std::vector<Candidate> &candidates, const PlacementQuery &query) const;
+    /** Sets Placement::cachedAt; adds servers that leave to @p candidates. */
+    void findCachedCopy(std::vector<Candidate> &candidates, const PlacementQuery &query,
+                        TimePoint now, Placement &placement) const;
+    /** Orders by how likely a server is to have cached the prefix. */
+    static void rank(std::vector<Candidate> &candidates, const ServerId &remembered);
+    bool copyPays(const PlacementQuery &query) const;
+    /** Load above which a prefix leaves its home. */
+    double spillBound(double meanLoad, std::int64_t sharedTokens) const;
     static Placement chooseLeastLoaded(const std::vector<Candidate> &candidates, double draw);
 
     const FleetView &fleet_;
--- a/modules/jy_gateway/registry/FleetView.cpp
+++ b/modules/jy_gateway/registry/FleetView.cpp
@@ -48,6 +48,17 @@
     return result;
 }
 
+std::vector<const ServerState *> FleetView::leaving(const ServiceId &service) const
+{
+    std::vector<const ServerState *> result;
+    for (const auto &[id, state] : servers_) {
+        if (state.leaving && !state.removalDue && state.listed.service == service
+            && !evacuated_.contains(state.listed.domain))
+            result.push_back(&state);
+    }
+    return result;
+}
+
 void FleetView::on(const ConfigWritten &change, TimePoint)
 {
     if (!config_ || change.config->version > config_->version)
@@ -62,6 +73,8 @@
     const bool restarted = known && state.listed.born != listed.born;
     if (restarted)
         state = ServerState{};
+    if (!known || restarted)
+        state.since = now;
     state.listed = listed;
     state.leaving = listed.leaving;
     state.removalDue.reset();
--- a/modules/jy_gateway/registry/FleetView.h
+++ b/modules/jy_gateway/registry/FleetView.h
@@ -24,6 +24,9 @@
 
     /** It tolerates little load until then. */
     TimePoint coldUntil;
+
+    /** When this instance first heard of this start of the server. */
+    TimePoint since;
 };
 
 struct RolloutView
@@ -68,6 +71,9 @@
     /** Servers of a service that may get new requests, of versions that are allowed now. */
     std::vector<const ServerState *> candidates(const ServiceId &service, TimePoint now) const;
 
+    /** Servers of a service that leave, are still there and belong to no evacuated domain. */
+    std::vector<const ServerState *> leaving(const ServiceId &service) const;
+
     const std::map<InstanceId, ListedInstance> &instances() const { return instances_; }
     const std::set<DomainId> &evacuated() const { return evacuated_; }
     const std::map<ServiceId, RolloutView> &rollouts() const { return rollouts_; }
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -38,6 +38,15 @@
     return stableHash(shared.id) | 1;
 }
 
+// Tokens of all parts but the request's own one.
+std::int64_t sharedTokensOf(const std::vector<PromptPart> &prompt)
+{
+    std::int64_t tokens = 0;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+        tokens += prompt[i].tokens;
+    return tokens;
+}
+
 // Time after which a refused caller finds a place, by what was missing.
 milliseconds retryAfter(PlacementReason reason)
 {
@@ -70,6 +79,7 @@
 {
     query_.service = pickService(route, relay.draw());
     query_.affinity = route.cachesPrompts ? affinityOf(facts.prompt) : 0;
+    query_.sharedTokens = sharedTokensOf(facts.prompt);
     if (query_.affinity != 0)
         query_.remembered = relay.homes_.find(query_.affinity, start);
 }
@@ -108,7 +118,7 @@
         return Step::NotRun;
     // A copy: the entry may be removed while this fiber is suspended.
     const auto listed = server->listed;
-    const auto outgoingRequest = outgoing(*server);
+    const auto outgoingRequest = outgoing(*server, placement.cachedAt);
     query_.tried.insert(listed.id);
     outcome_.server = listed.id;
     outcome_.placement = placement.reason;
@@ -140,13 +150,15 @@
     return step;
 }
 
-HttpRequest RelayExchange::outgoing(const ServerState &server) const
+HttpRequest RelayExchange::outgoing(const ServerState &server, const ServerId &cachedAt) const
 {
     ForwardFacts forward;
     forward.server = server.listed.id;
     forward.timeLeft = remainingWait();
     forward.workspace = workspace_;
     forward.lastEventId = events_.lastId().empty() ? facts_.lastEventId : events_.lastId();
+    if (const auto *source = relay_.dependencies_.fleet.findServer(cachedAt))
+        forward.cacheSource = source->listed.endpoint;
     if (route_.cachesPrompts)
         forward.priority = priority_;
     HttpRequest copy;
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -32,7 +32,7 @@
     Step relayPlain(HttpStream &stream, const ServerId &server);
     Step relayEvents(HttpStream &stream, const ServerId &server);
     Step fail(const Error &error, const ServerId &server);
-    HttpRequest outgoing(const ServerState &server) const;
+    HttpRequest outgoing(const ServerState &server, const ServerId &cachedAt) const;
     bool startAnswer(const HttpStream &stream);
 
     bool mayTryAgain(Step step);
--- a/tests/jy_gateway/FleetFixture.h
+++ b/tests/jy_gateway/FleetFixture.h
@@ -18,7 +18,11 @@
 {
     auto config = std::make_shared<RoutingConfig>();
     config->version = version;
-    config->addService({.id = engines, .coldDuration = seconds(3), .coldRequestsPerSecond = 10});
+    config->addService({.id = engines,
+                        .coldDuration = seconds(3),
+                        .coldRequestsPerSecond = 10,
+                        .cacheTokenBytes = 327'680,
+                        .cacheLinkMbps = 180'000});
     config->addService({.id = desk});
     return config;
 }
--- a/tests/jy_gateway/ServerChooserTest.cpp
+++ b/tests/jy_gateway/ServerChooserTest.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
+#include <functional>
 #include <random>
 
 namespace jy::test {
@@ -31,7 +33,9 @@
 
     Placement choose(const ServiceId &service, std::uint64_t affinity = 0, double draw = 0)
     {
-        return chooser.choose({.service = service, .affinity = affinity}, draw, start);
+        return chooser.choose(
+            {.service = service, .affinity = affinity, .sharedTokens = ServerChooser::longPrefix},
+            draw, start);
     }
 
     FleetView fleet;
@@ -84,6 +88,201 @@
     EXPECT_NE(instance.choose(engines, 7).server, home);
 }
 
+// Load played: streams with short prefixes that last for seconds, and long prefixes that take 0.2 s
+// to read. When the short ones filled up some servers, the long ones were read again at others.
+TEST(ServerChooserTest, ShortPrefixesLeaveTheirHomeBeforeLongOnes)
+{
+    Instance instance;
+    instance.add(9, engines);
+    const auto home = instance.choose(engines, 7).server;
+    instance.loads.setPeerUse(InstanceId("other"), {{home, {2, 0}}}, start);
+    EXPECT_EQ(instance.choose(engines, 7).server, home);
+    const PlacementQuery shortOne{
+        .service = engines, .affinity = 7, .sharedTokens = ServerChooser::shortPrefix};
+    const auto chosen = instance.chooser.choose(shortOne, 0, start);
+    EXPECT_NE(chosen.server, home);
+    EXPECT_EQ(chosen.reason, PlacementReason::Spilled);
+}
+
+/** One long prefix whose home and next server in rank are known. */
+struct CopyScene
+{
+    CopyScene()
+    {
+        instance.add(9, engines);
+        home = instance.choose(engines, 7).server;
+        second = choose(start, {home}).server;
+    }
+
+    Placement choose(TimePoint now, const std::set<ServerId> &tried = {},
+                     std::int64_t tokens = ServerChooser::longPrefix)
+    {
+        return instance.chooser.choose(
+            {.service = engines, .affinity = 7, .sharedTokens = tokens, .tried = tried}, 0, now);
+    }
+
+    void fillHome() { instance.loads.setPeerUse(InstanceId("other"), {{home, {9, 0}}}, later); }
+
+    void restartHome()
+    {
+        auto listed = instance.fleet.findServer(home)->listed;
+        listed.born += 60'000;
+        instance.fleet.apply(ServerWritten{listed}, later);
+    }
+
+    const TimePoint later = start + seconds(60);
+    Instance instance;
+    ServerId home;
+    ServerId second;
+};
+
+struct CopyCase
+{
+    std::string name;
+    std::function<Placement(CopyScene &)> play;
+
+    /** The server from whose cache the prefix is copied. */
+    std::function<ServerId(const CopyScene &)> source;
+};
+
+struct CachedCopyTest : testing::TestWithParam<CopyCase>
+{ };
+
+TEST_P(CachedCopyTest, NamesAServerThatHasThePrefix)
+{
+    CopyScene scene;
+    const auto placement = GetParam().play(scene);
+    EXPECT_FALSE(placement.server.empty());
+    EXPECT_EQ(placement.cachedAt, GetParam().source(scene));
+    EXPECT_NE(placement.cachedAt, placement.server);
+}
+
+const auto nobody = [](const CopyScene &) { return ServerId(); };
+
+const std::vector<CopyCase> copyCases = {
+    {"HomeHasItItself", [](CopyScene &scene) { return scene.choose(scene.later); }, nobody},
+    {"SpilledCopiesFromHome",
+     [](CopyScene &scene) {
+         scene.fillHome();
+         return scene.choose(scene.later);
+     },
+     [](const CopyScene &scene) { return scene.home; }},
+    {"RestartedHomeCopiesFromTheNextInRank",
+     [](CopyScene &scene) {
+         scene.restartHome();
+         return scene.choose(scene.later + seconds(4));
+     },
+     [](const CopyScene &scene) { return scene.second; }},
+    {"RestartedHomeHasItAfterAWhile",
+     [](CopyScene &scene) {
+         scene.restartHome();
+         return scene.choose(scene.later + seconds(30));
+     },
+     nobody},
+    {"NextInRankKeepsItWhenHomeRestartsAndIsFull",
+     [](CopyScene &scene) {
+         scene.restartHome();
+         scene.fillHome();
+         return scene.choose(scene.later + seconds(4));
+     },
+     nobody},
+    {"LeavingHomeIsCopiedFrom",
+     [](CopyScene &scene) {
+         auto listed = scene.instance.fleet.findServer(scene.home)->listed;
+         listed.leaving = true;
+         scene.instance.fleet.apply(ServerWritten{listed}, scene.later);
+         return scene.choose(scene.later);
+     },
+     [](const CopyScene &scene) { return scene.home; }},
+    {"HomeOfAnEvacuatedDomainIsNoSource",
+     [](CopyScene &scene) {
+         auto listed = scene.instance.fleet.findServer(scene.home)->listed;
+         listed.domain = DomainId("evacuated");
+         scene.instance.fleet.apply(ServerWritten{listed}, scene.later);
+         scene.instance.fleet.apply(EvacuationWritten{listed.domain}, scene.later);
+         return scene.choose(scene.later);
+     },
+     nobody},
+    {"FailingHomeIsNoSource",
+     [](CopyScene &scene) {
+         for (int i = 0; i < 20; ++i)
+             scene.instance.health.record(scene.home, ServerOutcome::Failed, scene.later);
+         return scene.choose(scene.later);
+     },
+     nobody},
+    {"TriedHomeIsNoSource",
+     [](CopyScene &scene) { return scene.choose(scene.later, {scene.home}); }, nobody},
+    {"ShortPrefixIsReadAsQuickly",
+     [](CopyScene &scene) {
+         scene.fillHome();
+         return scene.choose(scene.later, {}, ServerChooser::shortPrefix - 1);
+     },
+     nobody},
+    {"SlowLinksDoNotPay",
+     [](CopyScene &scene) {
+         auto config = twoServices(2);
+         config->addService({.id = engines, .cacheTokenBytes = 327'680, .cacheLinkMbps = 10'000});
+         scene.instance.fleet.apply(ConfigWritten{config}, scene.later);
+         scene.fillHome();
+         return scene.choose(scene.later);
+     },
+     nobody},
+    {"EnginesWithoutCopies",
+     [](CopyScene &scene) {
+         auto config = twoServices(2);
+         config->addService({.id = engines});
+         scene.instance.fleet.apply(ConfigWritten{config}, scene.later);
+         scene.fillHome();
+         return scene.choose(scene.later);
+     },
+     nobody},
+};
+
+INSTANTIATE_TEST_SUITE_P(Cases, CachedCopyTest, testing::ValuesIn(copyCases),
+                         [](const auto &row) { return row.param.name; });
+
+// Load played: 40 long prefixes among streams with short ones, 20 servers with 8 requests each on
+// average. A long prefix is read once; later requests find it or copy it.
+TEST(ServerChooserTest, LongPrefixesAreRarelyReadAgain)
+{
+    constexpr int servers = 20;
+    constexpr int longPrefixes = 40;
+    constexpr int requests = 4000;
+    constexpr int lifetimeInRequests = servers * 8;
+    Instance instance;
+    instance.add(servers, engines);
+    std::map<std::uint64_t, std::set<ServerId>> cachedAt;
+    std::deque<ServerId> running;
+    std::mt19937_64 random(1);
+    int again = 0;
+    int longOnes = 0;
+    for (int i = 0; i < requests; ++i) {
+        const bool isLong = i % 3 == 0;
+        const auto prefix =
+            1 + random() % longPrefixes + (isLong ? 0 : static_cast<std::uint64_t>(longPrefixes));
+        const auto tokens = isLong ? 8000 : ServerChooser::shortPrefix;
+        const auto placement = instance.chooser.choose(
+            {.service = engines, .affinity = prefix, .sharedTokens = tokens}, 0,
+            start + seconds(60));
+        auto &holders = cachedAt[prefix];
+        if (isLong) {
+            ++longOnes;
+            const bool found =
+                holders.contains(placement.server) || holders.contains(placement.cachedAt);
+            again += !holders.empty() && !found ? 1 : 0;
+        }
+        holders.insert(placement.server);
+        instance.loads.start(placement.server);
+        instance.loads.answerBegan(placement.server);
+        running.push_back(placement.server);
+        if (running.size() > lifetimeInRequests) {
+            instance.loads.finish(running.front(), true);
+            running.pop_front();
+        }
+    }
+    EXPECT_LE(again, longOnes / 50);
+}
+
 TEST(ServerChooserTest, MemoryOfHomesIsBounded)
 {
     HomeMemory memory;
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -26,7 +26,7 @@
           {"name":"r2","host":"h","prefix":"/b/","route_kind":"unsafe","service":"s2"},
           {"name":"broken"}],
         "services":[{"name":"s1","max_connections":370,"cold_start_s":3.5,"cold_per_s":12.0,
-          "engine":{"kv_capacity_tokens":345666}}],
+          "engine":{"kv_capacity_tokens":345666,"kv_token_bytes":327680,"link_mbps":210000.0}}],
         "limits":{"max_header_bytes":100,"idle_timeout_ms":15000},
         "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1}]})",
                                            5, false});
@@ -45,6 +45,8 @@
     ASSERT_NE(service, nullptr);
     EXPECT_EQ(service->coldDuration, milliseconds(3500));
     EXPECT_EQ(service->cacheTokens, 345666);
+    EXPECT_EQ(service->cacheTokenBytes, 327680);
+    EXPECT_EQ(service->cacheLinkMbps, 210000.0);
     EXPECT_EQ(config.limits.maxHeadBytes, 100U);
     EXPECT_EQ(config.findKey("k2")->workspace, WorkspaceId("t"));
     EXPECT_EQ(config.findKey("k2")->priority, 1);
@@ -146,11 +148,13 @@
           "jacinthyoke-kv-backup", "Kv-From", "Kv-Fetch", "Jacinthyoke-Expect-Replica",
           "Jacinthyoke-Expect-Version", "Jacinthyoke-Request-Priority"})
         sent.add(name, "forged");
-    const auto forwarded = createCallerProtocol().headersForServer(sent,
-                                                                   {.server = ServerId("i-1"),
-                                                                    .timeLeft = milliseconds(1200),
-                                                                    .workspace = WorkspaceId("w"),
-                                                                    .priority = 1});
+    const auto forwarded =
+        createCallerProtocol().headersForServer(sent,
+                                                {.server = ServerId("i-1"),
+                                                 .timeLeft = milliseconds(1200),
+                                                 .workspace = WorkspaceId("w"),
+                                                 .cacheSource = Endpoint{"10.0.0.9", 80},
+                                                 .priority = 1});
     for (const auto &[name, value] : forwarded)
         EXPECT_NE(value, "forged") << name;
     EXPECT_EQ(forwarded.value("Jacinthyoke-Attempt-Id"), "9c41");
@@ -158,6 +162,7 @@
     EXPECT_EQ(forwarded.value("Jacinthyoke-Expect-Replica"), "i-1");
     EXPECT_EQ(forwarded.value("Jacinthyoke-Deadline-Ms"), "1200");
     EXPECT_EQ(forwarded.value("Jacinthyoke-Tenant"), "w");
+    EXPECT_EQ(forwarded.value("Kv-Fetch"), "10.0.0.9:80");
     EXPECT_EQ(forwarded.value("Jacinthyoke-Request-Priority"), "3");
     EXPECT_FALSE(forwarded.find("Last-Event-Id"));
 }
