Followers spare a store that is away

Change: after a failed call a follower asks only readers for 1.5 s; they notice the end of an outage within 0.4 s. Failed registrations pause up to 1.2 s.

Ruled out: a slow restart after the loss of power; processes run again 1.1 s after it, most of that without power, and the first requests are served at once.

--- a/modules/jy_gateway/registry/PeerReading.cpp
+++ b/modules/jy_gateway/registry/PeerReading.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
 
 // Two may fail at the same moment before an instance has to call the store itself.
 constexpr std::size_t readerCount = 3;
@@ -59,15 +60,20 @@
 
 Result<StorePage> PeerReading::list(const std::string &prefix, const std::string &after)
 {
-    for (const auto &reader : readers_()) {
+    const auto readers = readers_();
+    for (const auto &reader : readers) {
         auto page = ask(reader, std::string(storeCopyPath), settings_.margin);
         if (page) {
             direct_ = false;
             return page;
         }
     }
-    direct_ = true;
-    return directStore_.list(prefix, after);
+    const auto call = [&] { return directStore_.list(prefix, after); };
+    if (readers.empty()) {
+        direct_ = true;
+        return call();
+    }
+    return callStore(call);
 }
 
 Result<StorePage> PeerReading::watch(const std::string &prefix, std::uint64_t revision,
@@ -76,15 +82,32 @@
     const auto target = std::string(storeChangesPath) + '?' + std::string(afterParameter) + '='
         + std::to_string(revision) + '&' + std::string(waitParameter) + '='
         + std::to_string(settings_.wait.count());
-    for (const auto &reader : readers_()) {
+    const auto readers = readers_();
+    for (const auto &reader : readers) {
         auto page = ask(reader, target, settings_.wait + settings_.margin);
         if (page || page.error().kind == ErrorKind::KvHistoryLost) {
             direct_ = false;
             return page;
         }
     }
+    const auto call = [&] { return directStore_.watch(prefix, revision, wait); };
+    if (readers.empty()) {
+        direct_ = true;
+        return call();
+    }
+    return callStore(call);
+}
+
+Result<StorePage> PeerReading::callStore(const std::function<Result<StorePage>()> &call)
+{
     direct_ = true;
-    return directStore_.watch(prefix, revision, wait);
+    const auto now = Clock::now();
+    if (storeFailed_ && now - *storeFailed_ < settings_.directPause)
+        return failure(ErrorKind::KvUnavailable, "neither a reader nor the store answered lately");
+    auto page = call();
+    const bool failed = !page && page.error().kind != ErrorKind::KvHistoryLost;
+    storeFailed_ = failed ? std::optional(Clock::now()) : std::nullopt;
+    return page;
 }
 
 Result<StorePage> PeerReading::ask(const Endpoint &reader, const std::string &target,
--- a/modules/jy_gateway/registry/PeerReading.h
+++ b/modules/jy_gateway/registry/PeerReading.h
@@ -2,12 +2,14 @@
 
 #include "jy_base/ids/Ids.h"
 #include "jy_base/net/Endpoint.h"
+#include "jy_base/time/TimeTypes.h"
 #include "jy_gateway/adapter/SharedStore.h"
 #include "jy_gateway/model/FleetChange.h"
 #include "jy_gateway/registry/StoreCopy.h"
 #include "jy_http/client/HttpClient.h"
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace jy {
@@ -35,6 +37,12 @@
 
     /** A reader whose last word from the store is older than this is not followed. */
     std::chrono::milliseconds longestAge{1100};
+
+    /**
+     * Time after a failed call to the store in which a follower asks readers only. They notice the
+     * end of an outage within 0.4 s; without this pause the whole fleet calls the store meanwhile.
+     */
+    std::chrono::milliseconds directPause{1500};
 };
 
 /**
@@ -61,6 +69,8 @@
     Result<StorePage> list(const std::string &prefix, const std::string &after);
     Result<StorePage> watch(const std::string &prefix, std::uint64_t revision,
                             std::chrono::milliseconds wait);
+    /** Calls the store, unless that has just failed. */
+    Result<StorePage> callStore(const std::function<Result<StorePage>()> &call);
     Result<StorePage> ask(const Endpoint &reader, const std::string &target,
                           std::chrono::milliseconds timeout);
 
@@ -69,6 +79,7 @@
     Readers readers_;
     PeerReadingSettings settings_;
     bool direct_ = true;
+    std::optional<TimePoint> storeFailed_;
 };
 
 } // namespace jy
--- a/modules/jy_gateway/registry/Registration.cpp
+++ b/modules/jy_gateway/registry/Registration.cpp
@@ -3,6 +3,8 @@
 #include "jy_base/errors/ErrorTable.h"
 #include "jy_runtime/logging/Log.h"
 
+#include <algorithm>
+
 namespace jy {
 
 Registration::Registration(const SharedStore &store, std::string key, std::string value,
@@ -15,14 +17,17 @@
 
 void Registration::run(StopToken &stop)
 {
+    auto pause = settings_.retryPause;
     while (!stop.stopRequested() && !withdrawn_) {
         if (lease_ == 0) {
             const auto entered = enter();
             if (!entered) {
                 noteFailure("registration-failed", entered.error());
-                stop.sleepFor(settings_.retryPause);
+                stop.sleepFor(pause);
+                pause = std::min(2 * pause, settings_.longestRetryPause);
                 continue;
             }
+            pause = settings_.retryPause;
         }
         stop.sleepFor(settings_.renewal);
         if (stop.stopRequested() || withdrawn_)
--- a/modules/jy_gateway/registry/Registration.h
+++ b/modules/jy_gateway/registry/Registration.h
@@ -17,7 +17,9 @@
     /** Time between two renewals; two may fail before the entry ends. */
     std::chrono::milliseconds renewal{1300};
 
+    /** Pause after a failed registration; doubles up to the longest one. */
     std::chrono::milliseconds retryPause{300};
+    std::chrono::milliseconds longestRetryPause{1200};
 };
 
 /** Keeps the own entry in the store under a lease, so that other instances find this one. */
--- a/tests/jy_gateway/PeerReadingTest.cpp
+++ b/tests/jy_gateway/PeerReadingTest.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
 ListedInstance instance(const std::string &id, int linkMbps)
 {
     return {.id = InstanceId(id), .linkMbps = linkMbps};
@@ -42,6 +44,44 @@
     EXPECT_TRUE(readersFor(only.id, {only}).empty());
 }
 
+// Load played: 88 followers whose readers have lost the store. Each called the store itself five times
+// a second for as long as the outage lasted.
+TEST(PeerReadingTest, FollowersSpareAStoreThatIsAway)
+{
+    EventLoop loop;
+    loop.run([&] {
+        const auto client = HttpClient::create(loop, {.connectTimeout = milliseconds(50)});
+        int calls = 0;
+        bool away = true;
+        SharedStore store;
+        store.watch = [&](const auto &, auto, auto) -> Result<StorePage> {
+            ++calls;
+            if (away)
+                return failure(ErrorKind::KvUnavailable, "away");
+            return StorePage{};
+        };
+        std::vector<Endpoint> readers{{"127.0.0.1", 1}};
+        PeerReading reading(store, *client, [&] { return readers; },
+                            {.directPause = milliseconds(200)});
+        const auto follower = reading.store();
+        const auto watch = [&] { return bool(follower.watch("", 1, milliseconds(10))); };
+        for (int i = 0; i < 10; ++i)
+            EXPECT_FALSE(watch());
+        EXPECT_EQ(calls, 1);
+        away = false;
+        EventLoop::sleepFor(milliseconds(250));
+        EXPECT_TRUE(watch());
+        EXPECT_TRUE(watch());
+        EXPECT_EQ(calls, 3);
+        // A reader has nobody else to ask.
+        away = true;
+        readers.clear();
+        for (int i = 0; i < 10; ++i)
+            EXPECT_FALSE(watch());
+        EXPECT_EQ(calls, 13);
+    });
+}
+
 TEST(StoreCopyTest, RoundTrip)
 {
     const StoreCopy sent{{{{"a", std::string("\0x", 2), 3, false}, {"b", "", 4, true}}, 7, false},
