Pass on only the newest version of a key, compressed

Cause: a follower got every version of a changed key since its last question.

Change: the history for peers holds the newest change of each key; copies are compressed with zstd through Boost.Iostreams.

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -199,7 +199,7 @@
         responder.send(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                        metrics_.prometheusText());
     else if (request.path() == storeCopyPath && fleet_.config())
-        responder.send(200, {{"Content-Type", "application/json"}},
+        responder.send(200, {{"Content-Type", "application/zstd"}},
                        encodeStoreCopy(storeCopy(mirror_.items())));
     else if (request.path() == storeChangesPath)
         answerStoreChanges(request, responder);
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -172,7 +172,7 @@
         responder.send(historyLostStatus, {}, "");
         return;
     }
-    responder.send(200, {{"Content-Type", "application/json"}},
+    responder.send(200, {{"Content-Type", "application/zstd"}},
                    encodeStoreCopy(storeCopy(std::move(*changes))));
 }
 
--- a/modules/jy_gateway/registry/StoreCopy.cpp
+++ b/modules/jy_gateway/registry/StoreCopy.cpp
@@ -1,17 +1,51 @@
 #include "jy_gateway/registry/StoreCopy.h"
 
 #include <absl/strings/escaping.h>
+#include <boost/iostreams/copy.hpp>
+#include <boost/iostreams/device/array.hpp>
+#include <boost/iostreams/device/back_inserter.hpp>
+#include <boost/iostreams/filter/zstd.hpp>
+#include <boost/iostreams/filtering_stream.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <array>
+#include <exception>
 #include <optional>
 
 namespace jy {
 
 namespace {
 
+namespace io = boost::iostreams;
+
+// The store holds a few values of at most 1 MB and small ones beside them.
+constexpr std::size_t maxCopyBytes = 32 * 1024 * 1024;
+
+Result<std::string> expandCopy(std::string_view bytes)
+{
+    std::string text;
+    try {
+        io::filtering_istream in;
+        in.push(io::zstd_decompressor());
+        in.push(io::array_source(bytes.data(), bytes.size()));
+        in.exceptions(std::ios::badbit);
+        std::array<char, 16 * 1024> part{};
+        while (in && text.size() <= maxCopyBytes) {
+            in.read(part.data(), part.size());
+            text.append(part.data(), static_cast<std::size_t>(in.gcount()));
+        }
+    } catch (const std::exception &error) {
+        return failure(ErrorKind::BadRequest,
+                       std::string("cannot expand the copy: ") + error.what());
+    }
+    if (text.size() > maxCopyBytes)
+        return failure(ErrorKind::BadRequest, "the copy of the store is too large");
+    return text;
+}
+
 std::optional<std::uint64_t> readCount(const boost::json::object &object, std::string_view name)
 {
     const auto *value = object.if_contains(name);
@@ -38,6 +72,17 @@
 
 } // namespace
 
+std::string compressCopy(std::string_view text)
+{
+    std::string bytes;
+    io::filtering_ostream out;
+    out.push(io::zstd_compressor(io::zstd::best_speed));
+    out.push(io::back_inserter(bytes));
+    out.write(text.data(), static_cast<std::streamsize>(text.size()));
+    out.reset();
+    return bytes;
+}
+
 std::string encodeStoreCopy(const StoreCopy &copy)
 {
     boost::json::array items;
@@ -49,12 +94,13 @@
             entry["removed"] = true;
         items.push_back(std::move(entry));
     }
-    return boost::json::serialize(boost::json::object{
-        {"items", std::move(items)}, {"as_of", copy.page.asOf}, {"age_ms", copy.age.count()}});
+    return compressCopy(boost::json::serialize(boost::json::object{
+        {"items", std::move(items)}, {"as_of", copy.page.asOf}, {"age_ms", copy.age.count()}}));
 }
 
-Result<StoreCopy> decodeStoreCopy(std::string_view text)
+Result<StoreCopy> decodeStoreCopy(std::string_view bytes)
 {
+    BOOST_OUTCOME_TRY(const auto text, expandCopy(bytes));
     boost::system::error_code error;
     const auto document = boost::json::parse(text, error);
     const auto *object = error ? nullptr : document.if_object();
--- a/modules/jy_gateway/registry/StoreCopy.h
+++ b/modules/jy_gateway/registry/StoreCopy.h
@@ -30,10 +30,13 @@
     std::chrono::milliseconds age{0};
 };
 
-/** JSON form of a copy. */
+/** JSON form of a copy, compressed: many routes are alike, and narrow links carry them. */
 std::string encodeStoreCopy(const StoreCopy &copy);
 
-/** @returns BadRequest for text that is no copy. */
-Result<StoreCopy> decodeStoreCopy(std::string_view text);
+/** @returns BadRequest for bytes that are no copy. */
+Result<StoreCopy> decodeStoreCopy(std::string_view bytes);
+
+/** The compression of encodeStoreCopy(). */
+std::string compressCopy(std::string_view text);
 
 } // namespace jy
--- a/modules/jy_gateway/registry/StoreMirror.cpp
+++ b/modules/jy_gateway/registry/StoreMirror.cpp
@@ -47,6 +47,8 @@
 
 void StoreMirror::remember(const StoreItem &change)
 {
+    // Only the newest change of a key matters, and a configuration can be some 100 KB large.
+    std::erase_if(history_, [&](const StoreItem &item) { return item.key == change.key; });
     history_.push_back(change);
     if (history_.size() <= maxHistory)
         return;
--- a/modules/jy_gateway/registry/StoreMirror.h
+++ b/modules/jy_gateway/registry/StoreMirror.h
@@ -42,7 +42,7 @@
     std::uint64_t revision() const { return revision_; }
 
     /**
-     * Items that changed after @p revision, removals included.
+     * Items that changed after @p revision, removals included, each as it is now.
      *
      * @returns nothing when that part of the history is not kept
      */
@@ -59,13 +59,13 @@
     bool merge(const StoreItem &item);
     void remember(const StoreItem &change);
 
-    /** Changes that are kept for peers; a slow one reads everything instead. */
+    /** Keys whose newest change is kept for peers; a slow one reads everything instead. */
     static constexpr std::size_t maxHistory = 1024;
 
     Observer observer_;
     std::map<std::string, StoreItem> items_;
 
-    /** Changes after historyStart_, in the order of the store. */
+    /** The newest change of each key after historyStart_, in the order of the store. */
     std::deque<StoreItem> history_;
     std::uint64_t historyStart_ = 0;
     std::uint64_t revision_ = 0;
--- a/tests/jy_gateway/PeerReadingTest.cpp
+++ b/tests/jy_gateway/PeerReadingTest.cpp
@@ -100,9 +100,26 @@
 
 TEST_P(BrokenCopy, IsRefused)
 {
+    EXPECT_FALSE(decodeStoreCopy(compressCopy(GetParam())));
     EXPECT_FALSE(decodeStoreCopy(GetParam()));
 }
 
+// A configuration with 1,400 routes took 0.4 s on a link of 10 Mbit/s.
+TEST(StoreCopyTest, RoutesThatAreAlikeTakeLittleRoom)
+{
+    std::string config;
+    for (int i = 0; i < 1400; ++i)
+        config += R"({"name":"r-)" + std::to_string(i * 7919)
+            + R"(","host":"h.example","prefix":"/p/","route_kind":"safe","timeout_ms":6000},)";
+    const auto bytes = encodeStoreCopy({{{{"config", config, 3, false}}, 7, false}, {}});
+    EXPECT_LE(bytes.size(), config.size() / 5);
+    const auto received = decodeStoreCopy(bytes);
+    ASSERT_TRUE(received);
+    EXPECT_EQ(received.value().page.items.front().value, config);
+    for (std::size_t size = 0; size < bytes.size(); size += 997)
+        EXPECT_FALSE(decodeStoreCopy(std::string_view(bytes).substr(0, size)));
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Texts, BrokenCopy,
     testing::Values("", "[]", "{}", R"({"items":[],"as_of":1})",
