--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -125,12 +125,14 @@
     outcome_.server = listed.id;
     outcome_.placement = placement.reason;
     outcome_.load = placement.load;
+    outcome_.copySource = placement.cachedAt;
     ++outcome_.attempts;
     logEvent(LogLevel::Debug, "attempt",
              {{"request", facts_.id},
               {"server", listed.id},
               {"reason", toString(placement.reason)},
               {"load", placement.load},
+              {"copy_from", placement.cachedAt},
               {"candidates", placement.candidates},
               {"time_left_ms", timeLeft()}});
     HttpCallOptions options;
--- a/modules/jy_gateway/relay/RequestRelay.cpp
+++ b/modules/jy_gateway/relay/RequestRelay.cpp
@@ -91,6 +91,7 @@
               {"attempts", outcome.attempts},
               {"placement", toString(outcome.placement)},
               {"load", outcome.load},
+              {"copy_from", outcome.copySource},
               {"config", config ? config->version : 0},
               {"duration_ms", duration}});
 }
--- a/modules/jy_gateway/relay/RequestRelay.h
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -27,6 +27,9 @@
     /** Why the last server was chosen, and what was in flight there. */
     PlacementReason placement = PlacementReason::NoServer;
     int load = 0;
+
+    /** Server from whose cache the prompt's shared parts were to be copied; may be empty. */
+    ServerId copySource;
 };
 
 struct RelaySettings
