A prompt that spills keeps its remembered home

Cause: the instance that had sent a prompt to a second server remembered that one as its home for 20 s, while the others kept to the first, so both had to keep and copy it.

SpilledPromptDoesNotMoveItsHome failed without the change.

--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -269,7 +269,8 @@
         if (!answerBegan_) {
             answerBegan_ = true;
             relay_.dependencies_.loads.answerBegan(server);
-            if (query_.affinity != 0)
+            // A prompt that has only spilled keeps the home on which all instances agree.
+            if (query_.affinity != 0 && outcome_.placement == PlacementReason::Home)
                 relay_.homes_.remember(query_.affinity, server, Clock::now());
         }
         const auto events = events_.add(part.value());
--- a/tests/jy_gateway/RequestRelayTest.cpp
+++ b/tests/jy_gateway/RequestRelayTest.cpp
@@ -19,6 +19,8 @@
         RequestFacts facts;
         facts.id = RequestId(std::string(headers.value("Id")));
         facts.credential = headers.value("Key");
+        if (const auto shared = headers.find("Shared"))
+            facts.prompt = {{std::string(*shared), ServerChooser::longPrefix}, {"own", 10}};
         if (headers.find("Patience"))
             facts.patience = milliseconds(std::stoi(std::string(headers.value("Patience"))));
         return facts;
@@ -113,6 +115,12 @@
                                 {.keepHost = true});
     }
 
+    /** Requests in flight of another instance, by server. */
+    void setPeerUse(UseByServer use)
+    {
+        loads_.setPeerUse(InstanceId("other"), std::move(use), std::chrono::steady_clock::now());
+    }
+
     FleetView fleet;
     double retryRate = 10;
 
@@ -351,6 +359,31 @@
     });
 }
 
+// Load played: a prompt that spills once and comes back. This instance went on to send it to the
+// second server, the others to the home, and both had to keep it.
+TEST(RequestRelayTest, SpilledPromptDoesNotMoveItsHome)
+{
+    withRelay([](RelayFixture &relay) {
+        relay.configure({.kind = RequestKind::Stream, .cachesPrompts = true});
+        std::vector<int> reached;
+        for (int i = 0; i < 2; ++i)
+            relay.addBackend([&reached, i](const HttpRequest &, HttpResponder &out) {
+                reached.push_back(i);
+                out.startStream(200, streamHead());
+                out.write("id: 1\ndata: a\n\n");
+                out.endStream();
+            });
+        const HttpHeaders prompt{{"Id", "r1"}, {"Shared", "p"}};
+        EXPECT_TRUE(relay.call(prompt));
+        const int home = reached.at(0);
+        relay.setPeerUse({{ServerId("s" + std::to_string(home)), {15, 0}}});
+        EXPECT_TRUE(relay.call(prompt));
+        relay.setPeerUse({});
+        EXPECT_TRUE(relay.call(prompt));
+        EXPECT_EQ(reached, (std::vector<int>{home, 1 - home, home}));
+    });
+}
+
 TEST(RequestRelayTest, SilentResumableStreamContinuesElsewhere)
 {
     withRelay([](RelayFixture &relay) {
