--- a/tests/soak/Faults.cpp
+++ b/tests/soak/Faults.cpp
@@ -35,15 +35,29 @@
     std::size_t number_;
 };
 
-void applyRules(const std::shared_ptr<standins::ProxyLink> &link, const FaultRules &rules,
-                milliseconds time)
+using LinkPtr = std::shared_ptr<standins::ProxyLink>;
+
+void beginRules(const LinkPtr &link, const FaultRules &rules)
 {
     link->rules = rules;
     link->rulesChanged();
-    EventLoop::sleepFor(time);
+}
+
+void endRules(const LinkPtr &link)
+{
+    // Open connections have a gap after a cut, which TCP would never show to its users.
+    if (link->rules.cutForward || link->rules.cutBackward)
+        beginRules(link, {.reset = true});
     link->rules = {};
 }
 
+void applyRules(const LinkPtr &link, const FaultRules &rules, milliseconds time)
+{
+    beginRules(link, rules);
+    EventLoop::sleepFor(time);
+    endRules(link);
+}
+
 /** Delay, silence in one direction or both, or resets. */
 FaultRules drawLinkRules(FaultDraw &draw)
 {
@@ -202,10 +216,9 @@
     auto rules = drawLinkRules(draw);
     if (draw.coin())
         rules = {.drop = 0.3, .reorder = 0.2};
-    gateway.controlLink->rules = rules;
-    gateway.controlLink->rulesChanged();
+    beginRules(gateway.controlLink, rules);
     applyRules(gateway.peerLink, rules, draw.time(200, 6000));
-    gateway.controlLink->rules = {};
+    endRules(gateway.controlLink);
 }
 
 void harmServerLink(FaultDraw &draw)
