--- /dev/null
+++ b/tests/jy_gateway/InstanceFixture.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "FleetFixture.h"
+
+#include "jy_gateway/placement/ServerChooser.h"
+
+#include <string>
+
+namespace jy::test {
+
+inline const TimePoint start{std::chrono::hours(1)};
+
+/** One instance with its own counts and health, and a view of the fleet. */
+struct Instance
+{
+    explicit Instance(const std::string &id = "instance")
+        : cold(InstanceId(id))
+        , chooser(fleet, loads, health, cold)
+    {
+        fleet.apply(ConfigWritten{twoServices()}, start);
+    }
+
+    void add(int count, const ServiceId &service)
+    {
+        for (int i = 0; i < count; ++i)
+            fleet.apply(ServerWritten{server("s" + std::to_string(i), service)}, start);
+    }
+
+    Placement choose(const ServiceId &service, std::uint64_t affinity = 0, double draw = 0)
+    {
+        return chooser.choose(
+            {.service = service, .affinity = affinity, .sharedTokens = ServerChooser::longPrefix},
+            draw, start);
+    }
+
+    FleetView fleet;
+    LoadTable loads;
+    ServerHealth health;
+    ColdAllowance cold;
+    ServerChooser chooser;
+};
+
+} // namespace jy::test
