--- a/tests/soak/Ledger.h
+++ b/tests/soak/Ledger.h
@@ -89,6 +89,9 @@
     /** Time after a server's announced or removed entry in which requests may still reach it. */
     std::chrono::milliseconds drain{2000};
 
+    /** Time after which a new configuration is in force. */
+    std::chrono::milliseconds configApply{2000};
+
     /** Time past the allowed one after which an answer counts as held back. */
     std::chrono::milliseconds answerSlack{500};
 
@@ -147,6 +150,7 @@
         std::uint64_t runs = 0;
     };
     const Counts &counts() const { return counts_; }
+    const Bounds &bounds() const { return bounds_; }
 
 private:
     struct Run
--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -140,23 +140,26 @@
                                             : sendPlain(call, request, options);
     *open = false;
     fleet_.ledger.answered(call.id, answer);
-    if (call.probe && (answer.status == 401 || answer.status == 404)) {
-        constexpr seconds configBound{2};
-        constexpr seconds window{4};
-        const auto number = std::to_string(fleet_.config().version);
-        const auto from = call.sent - window - configBound;
-        if (call.path.starts_with("/v" + number + '/')
-            && call.sent > fleet_.config().at + configBound
-            && fleet_.disturbances.calm(call.instance, from, answer.at)
-            && fleet_.disturbances.calm("store", from, answer.at))
-            fleet_.ledger.note("CONFIG",
-                               "id=" + call.id + " instance=" + call.instance
-                                   + " does not know version " + number);
-    }
+    if (call.probe && (answer.status == 401 || answer.status == 404))
+        checkConfig(call, answer);
     if (answer.status == 0)
         hasAddress_ = false;
 }
 
+void SoakCaller::checkConfig(const Call &call, const Answer &answer)
+{
+    const auto &bounds = fleet_.ledger.bounds();
+    const auto version = std::to_string(fleet_.config().version);
+    const auto from = call.sent - bounds.stableWindow - bounds.configApply;
+    if (call.path.starts_with("/v" + version + '/')
+        && call.sent > fleet_.config().at + bounds.configApply
+        && fleet_.disturbances.calm(call.instance, from, answer.at)
+        && fleet_.disturbances.calm("store", from, answer.at))
+        fleet_.ledger.note("CONFIG",
+                           "id=" + call.id + " instance=" + call.instance
+                               + " does not know version " + version);
+}
+
 Answer SoakCaller::sendPlain(const Call &call, const HttpRequest &request,
                              const HttpCallOptions &options)
 {
@@ -179,7 +182,6 @@
 Answer SoakCaller::sendStream(const Call &call, const HttpRequest &request,
                               const HttpCallOptions &options)
 {
-    constexpr int events = 12;
     constexpr seconds silence{5};
     Answer answer;
     auto stream = client_->open(address_, request, call.allowed + listensOn, options);
@@ -224,7 +226,7 @@
     answer.seal = seal;
     if (status != 200)
         return answer;
-    if (next != events + 1 || parser.hasPartialEvent())
+    if (next != streamEvents + 1 || parser.hasPartialEvent())
         fleet_.ledger.note(
             "ORDER", "id=" + call.id + " complete after " + std::to_string(next - 1) + " events");
     if (call.kind == CallKind::PlainStream && std::ranges::count(marks, ' ') > 1)
--- a/tests/soak/SoakCaller.h
+++ b/tests/soak/SoakCaller.h
@@ -20,6 +20,8 @@
     void chooseAddress();
     void callOnce();
     void send(const Call &call, std::string_view key);
+    /** A refusal of the newest route or key is a finding once the bound has passed. */
+    void checkConfig(const Call &call, const Answer &answer);
     Answer sendPlain(const Call &call, const HttpRequest &request, const HttpCallOptions &options);
     Answer sendStream(const Call &call, const HttpRequest &request, const HttpCallOptions &options);
     Call draw();
--- a/tests/soak/SoakServer.cpp
+++ b/tests/soak/SoakServer.cpp
@@ -176,13 +176,13 @@
 void SoakServer::answerStream(const Arrival &arrival, const std::string &seal,
                               const HttpRequest &request, HttpResponder &responder)
 {
-    constexpr int events = 12;
     constexpr milliseconds pause{25};
     const auto last = text(request, wire::lastEventId);
     const int first = last.empty() ? 1 : std::stoi(last) + 1;
-    const int brokenAt =
-        chance(mood.breaks) ? std::uniform_int_distribution<int>(1, events)(random_) : events + 1;
-    for (int event = first; event <= events; ++event) {
+    const int brokenAt = chance(mood.breaks)
+        ? std::uniform_int_distribution<int>(1, streamEvents)(random_)
+        : streamEvents + 1;
+    for (int event = first; event <= streamEvents; ++event) {
         if (event == brokenAt || !work(pause * mood.slowness, responder)) {
             settings_.ledger.finished(arrival.id, seal, 0, {}, Clock::now());
             return;
--- a/tests/soak/SoakServer.h
+++ b/tests/soak/SoakServer.h
@@ -13,6 +13,9 @@
 
 namespace jy::soak {
 
+/** Events of a complete stream. */
+inline constexpr int streamEvents = 12;
+
 /** Misbehaviour of a backend server while its process lives. */
 struct ServerMood
 {
