Tell other instances which server has which prompt prefix cached

Change: PromptHolders replaces HomeMemory. An instance tells in its beats which server has begun to answer which prefix, long ones first, at most each 6 s for a pair, within 1.4 KB/s. Known holders rank before the others, and a server that lacks the prefix copies from the nearest holder. Most of what is still read again was lost with servers that crashed or whose domain was evacuated.

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -109,6 +109,7 @@
               .health = health_,
               .backoff = backoff_,
               .chooser = chooser_,
+              .prompts = prompts_,
               .protocol = adapter_.protocol,
               .metrics = metrics_,
               .bodyBudget = bodyBudget_,
--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -126,6 +126,7 @@
     ServerBackoff backoff_;
     ColdAllowance cold_;
     ServerChooser chooser_;
+    PromptHolders prompts_;
     RequestRelay relay_;
 
     std::unique_ptr<HttpServer> callerServer_;
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -228,6 +228,8 @@
     }
     if (!peers_.receive(beat.value(), now) || !peers_.inOwnGroup(id))
         return;
+    for (const auto &pair : beat.value().cached)
+        prompts_.heard(pair, now);
     loads_.setPeerUse(id, beat.value().use, now);
     if (!beat.value().brief)
         health_.setPeerEvidence(id, beat.value().evidence, now);
@@ -252,7 +254,8 @@
                             .ready = ready(),
                             .use = loads_.own(),
                             .evidence = std::move(evidence),
-                            .leaving = fleet_.announcedLeaving()};
+                            .leaving = fleet_.announcedLeaving(),
+                            .cached = prompts_.takeNews(peers_.cachedPerBeat())};
     const auto bytes = encodeBeat(beat);
     const bool everywhere = reach == BeatReach::Everywhere;
     for (const auto &to : everywhere ? peers_.allDestinations() : peers_.destinations())
--- a/modules/jy_gateway/peers/BeatCodec.cpp
+++ b/modules/jy_gateway/peers/BeatCodec.cpp
@@ -28,6 +28,9 @@
 
 constexpr double tenths = 10;
 
+// Bits of either half of a packed pair of a prefix and a server.
+constexpr int halfBits = 32;
+
 std::size_t roomLeft(std::size_t limit, std::size_t used)
 {
     return used < limit ? limit - used : 0;
@@ -77,6 +80,23 @@
     }
 }
 
+void addCached(const std::vector<CachedPrompt> &cached, wire::Beat &message)
+{
+    for (const auto &pair : cached) {
+        message.add_cached((std::uint64_t{pair.prompt} << halfBits) | beatHash(pair.server));
+    }
+}
+
+std::vector<CachedPrompt> readCached(const wire::Beat &message, const ServerByHash &findServer)
+{
+    std::vector<CachedPrompt> cached;
+    for (const auto packed : message.cached()) {
+        if (const auto *server = findServer(static_cast<std::uint32_t>(packed)))
+            cached.push_back({static_cast<std::uint32_t>(packed >> halfBits), *server});
+    }
+    return cached;
+}
+
 /** @param room bytes that are left in the datagram */
 void addLoads(const std::vector<Entry> &entries, std::size_t room, wire::Beat &message)
 {
@@ -202,9 +222,11 @@
     message.set_ready(beat.ready);
     message.set_brief(beat.brief);
     addLeaving(beat.leaving, message);
+    addCached(beat.cached, message);
     const auto room =
         roomLeft(maxBeatBytes,
-                 fixedBytes + static_cast<std::size_t>(message.leaving_size()) * leavingEntryBytes);
+                 fixedBytes + static_cast<std::size_t>(message.leaving_size()) * leavingEntryBytes
+                     + beat.cached.size() * packedEntryBytes);
     if (beat.brief || beat.group) {
         message.set_brief(true);
         message.set_instance_hash(peerHash(beat.instance.id));
@@ -257,6 +279,7 @@
         if (const auto *server = findServer(leaving.server_hash()))
             beat.leaving[*server] = leaving.born();
     }
+    beat.cached = readCached(message, findServer);
     return beat;
 }
 
--- a/modules/jy_gateway/peers/PeerTable.cpp
+++ b/modules/jy_gateway/peers/PeerTable.cpp
@@ -16,6 +16,11 @@
 // Unlisted instances stay known for this long, so that an outage of the store removes nobody.
 constexpr std::chrono::seconds unlistedRetention{60};
 
+// Traffic for what servers have cached, a tenth of the budget for control traffic, and the bytes of
+// one pair in a beat.
+constexpr double cachedBytesPerSecond = 1400;
+constexpr double cachedPairBytes = 8;
+
 // Members of a group that must have been heard before an instance goes by who was heard.
 bool isMost(std::size_t heard, std::size_t members)
 {
@@ -49,6 +54,15 @@
     return groups_ > 1 ? (1 + beatsPerReport) * period() : period();
 }
 
+std::size_t PeerTable::cachedPerBeat() const
+{
+    const auto receivers = std::max<std::size_t>(1, destinations().size());
+    const double seconds = std::chrono::duration<double>(period()).count();
+    const double pairs =
+        cachedBytesPerSecond * seconds / (cachedPairBytes * static_cast<double>(receivers));
+    return std::max<std::size_t>(1, static_cast<std::size_t>(pairs));
+}
+
 std::size_t PeerTable::groupSize() const
 {
     // Expected rather than counted, so that all instances use the same period.
--- a/modules/jy_gateway/peers/PeerTable.h
+++ b/modules/jy_gateway/peers/PeerTable.h
@@ -3,6 +3,7 @@
 #include "jy_base/time/TimeTypes.h"
 #include "jy_gateway/model/FleetChange.h"
 #include "jy_gateway/placement/LoadTable.h"
+#include "jy_gateway/placement/PromptHolders.h"
 #include "jy_gateway/placement/ServerHealth.h"
 #include "jy_gateway/registry/FleetView.h"
 
@@ -49,6 +50,9 @@
      */
     StartByServer leaving;
 
+    /** Prompt prefixes that servers have read for this instance, see PromptHolders. */
+    std::vector<CachedPrompt> cached;
+
     /** Set in a report; the message then contains nothing about the sender itself. */
     std::optional<GroupReport> group;
 };
@@ -95,6 +99,10 @@
     /** Age that counts of requests may have when the next ones arrive. */
     std::chrono::milliseconds reportAge() const;
 
+    /** Pairs of a prefix and a server that a beat may carry, so that they take a fixed part of the
+     * budget for control traffic at any size of the fleet. */
+    std::size_t cachedPerBeat() const;
+
     /** Groups of the fleet, see PeerGroups; 1 when each instance beats to every other one. */
     std::size_t groupCount() const { return groups_; }
 
--- a/modules/jy_gateway/placement/ServerChooser.cpp
+++ b/modules/jy_gateway/placement/ServerChooser.cpp
@@ -108,6 +108,7 @@
         const double excess = failureRates[i] - usualRate - ignoredFailureRate;
         candidate.penalty = std::max(0.0, excess) * penaltyScale;
         candidate.rank = rendezvousScore(query.affinity, id.value());
+        candidate.holds = holds(*server, query);
         (health_.paused(id, now) ? lastResort : all).push_back(candidate);
     }
     if (all.empty())
@@ -147,18 +148,26 @@
     return rates;
 }
 
-void ServerChooser::rank(std::vector<Candidate> &candidates, const ServerId &remembered)
+bool ServerChooser::holds(const ServerState &server, const PlacementQuery &query)
 {
-    std::ranges::sort(candidates, std::ranges::greater(), [&](const Candidate &candidate) {
-        return std::pair(candidate.server->listed.id == remembered, candidate.rank);
+    // What a server had cached before it started again is gone.
+    return std::ranges::any_of(query.holders, [&](const PromptHolder &holder) {
+        return holder.server == server.listed.id && holder.used >= server.since;
+    });
+}
+
+void ServerChooser::rank(std::vector<Candidate> &candidates)
+{
+    std::ranges::sort(candidates, std::ranges::greater(), [](const Candidate &candidate) {
+        return std::pair(candidate.holds, candidate.rank);
     });
 }
 
 Placement ServerChooser::chooseHome(Usable &usable, const PlacementQuery &query) const
 {
     auto &candidates = usable.candidates;
-    rank(candidates, query.remembered);
-    const double bound = spillBound(usable.meanLoad, query.sharedTokens);
+    rank(candidates);
+    const double bound = spillBound(usable.meanLoad);
     for (const auto &candidate : candidates) {
         if (candidate.load + candidate.penalty + 1 > bound || candidate.waiting >= waitingLimit)
             continue;
@@ -187,6 +196,21 @@
     return copyPerToken * tokensReadPerMs < 1;
 }
 
+const ServerChooser::Candidate *
+ServerChooser::nearestHolder(const std::vector<Candidate> &candidates, const DomainId &domain)
+{
+    const Candidate *nearest = nullptr;
+    for (const auto &candidate : candidates) {
+        if (!candidate.holds || candidate.penalty > 0)
+            continue;
+        if (candidate.server->listed.domain == domain)
+            return &candidate;
+        if (!nearest)
+            nearest = &candidate;
+    }
+    return nearest;
+}
+
 void ServerChooser::findCachedCopy(std::vector<Candidate> &candidates, const PlacementQuery &query,
                                    TimePoint now, Placement &placement) const
 {
@@ -194,10 +218,17 @@
         if (!query.tried.contains(server->listed.id))
             candidates.push_back(
                 {.server = server,
-                 .rank = rendezvousScore(query.affinity, server->listed.id.value())});
+                 .rank = rendezvousScore(query.affinity, server->listed.id.value()),
+                 .holds = holds(*server, query)});
     }
-    rank(candidates, query.remembered);
+    rank(candidates);
     const auto *chosen = fleet_.findServer(placement.server);
+    if (!chosen || holds(*chosen, query))
+        return;
+    if (const auto *holder = nearestHolder(candidates, chosen->listed.domain)) {
+        placement.cachedAt = holder->server->listed.id;
+        return;
+    }
     const auto young = [&](const ServerState &server) { return now - server.since < youngTime; };
     const auto joinedAfter = [](const ServerState &server, const ServerState &other) {
         return server.listed.born > other.listed.born + sameStart.count()
@@ -209,7 +240,7 @@
         if (&server == chosen) {
             before = false;
             // A server in its place for long has cached the prefix itself.
-            if (!young(server) || server.listed.id == query.remembered)
+            if (!young(server))
                 return;
             continue;
         }
@@ -223,15 +254,12 @@
     }
 }
 
-double ServerChooser::spillBound(double meanLoad, std::int64_t sharedTokens) const
+double ServerChooser::spillBound(double meanLoad) const
 {
     const double age = std::chrono::duration<double>(reportAge_).count();
     const double factor = std::max(leastSpillFactor, spillFactor - age * factorPerSecond);
     const double slack = std::max(leastSpillSlack, spillSlack - age * slackPerSecond);
-    const double length = std::clamp(
-        static_cast<double>(sharedTokens - shortPrefix) / (longPrefix - shortPrefix), 0.0, 1.0);
-    return meanLoad * std::lerp(shortSpillFactor, factor, length)
-        + std::lerp(shortSpillSlack, slack, length);
+    return meanLoad * factor + slack;
 }
 
 Placement ServerChooser::chooseLeastLoaded(const std::vector<Candidate> &candidates, double draw)
--- a/modules/jy_gateway/placement/ServerChooser.h
+++ b/modules/jy_gateway/placement/ServerChooser.h
@@ -2,6 +2,7 @@
 
 #include "jy_gateway/limits/ColdAllowance.h"
 #include "jy_gateway/placement/LoadTable.h"
+#include "jy_gateway/placement/PromptHolders.h"
 #include "jy_gateway/placement/ServerBackoff.h"
 #include "jy_gateway/placement/ServerHealth.h"
 #include "jy_gateway/registry/FleetView.h"
@@ -24,16 +25,16 @@
     /** Tokens of the shared parts, which a server that has not cached them must read. */
     std::int64_t sharedTokens = 0;
 
-    /** Server that is known to have that part cached; goes before the ranking. May be empty. */
-    ServerId remembered;
+    /** Servers that are known to have that part cached; they go before the others. */
+    std::vector<PromptHolder> holders;
 
     /** Servers that this request was already sent to. */
     std::set<ServerId> tried;
 };
 
 enum class PlacementReason {
-    Home, /**< the server that caches the shared part of the prompt */
-    Spilled, /**< the home server is too busy */
+    Home, /**< the first server that has the shared part of the prompt or should have it */
+    Spilled, /**< the servers before it in rank are too busy */
     LeastLoaded,
     NoServer, /**< no server of the service may get requests */
     AllTried,
@@ -66,12 +67,12 @@
  * Requests with a shared prompt prefix go to the server that ranks first by rendezvous hashing of
  * that prefix, or to the next one in rank while the load there exceeds a bound near the mean of the
  * service (consistent hashing with bounded loads), so that a prefix in heavy use spreads over the
- * same few servers on every instance. The bound is tight for prefixes that are quickly read, so
- * that these even out the load and leave room for long ones at their homes. Other requests are
- * short, so what other instances reported is out of date when it arrives, and all instances would
- * choose the same server by it: these requests go to the server with the fewest own requests in
- * flight, by chance among equals. Answers the load of a few busy prefixes, of many instances before
- * few servers, and of servers that fail part of their requests.
+ * same few servers on every instance. Servers that are known to have the prefix go before the
+ * others in that ranking, and one that has not copies it from the nearest that has. Other requests
+ * are short, so what other instances reported is out of date when it arrives, and all instances
+ * would choose the same server by it: these requests go to the server with the fewest own requests
+ * in flight, by chance among equals. Answers the load of a few busy prefixes, of many instances
+ * before few servers, and of servers that fail part of their requests.
  */
 class ServerChooser
 {
@@ -82,16 +83,6 @@
     /** Requests above the relative bound that are accepted, so that small loads do not spill. */
     static constexpr double spillSlack = 2.0;
 
-    /** The same for prefixes of @ref shortPrefix tokens and less. */
-    static constexpr double shortSpillFactor = 1.1;
-    static constexpr double shortSpillSlack = 1.0;
-
-    /** Tokens that an engine reads in the time of a decoding step or two, 45 in a millisecond. */
-    static constexpr std::int64_t shortPrefix = 600;
-
-    /** Tokens whose reading takes a third of a latency target of 400 ms. */
-    static constexpr std::int64_t longPrefix = 6000;
-
     /**
      * Requests waiting for the start of their answer at which a prompt spills. An engine reads one
      * uncached prompt in 0.2 s, so the fourth one in a row misses targets of half a second.
@@ -132,6 +123,9 @@
         double penalty = 0;
         std::uint64_t rank = 0;
         bool cold = false;
+
+        /** Known to have the shared part of the prompt. */
+        bool holds = false;
     };
 
     /** Servers that may get a request now. */
@@ -151,11 +145,16 @@
     /** Sets Placement::cachedAt; adds servers that leave to @p candidates. */
     void findCachedCopy(std::vector<Candidate> &candidates, const PlacementQuery &query,
                         TimePoint now, Placement &placement) const;
+    /** Known holder to copy from, in the same domain if there is one: copies between domains take
+     * twice the time. Null when there is none. */
+    static const Candidate *nearestHolder(const std::vector<Candidate> &candidates,
+                                          const DomainId &domain);
     /** Orders by how likely a server is to have cached the prefix. */
-    static void rank(std::vector<Candidate> &candidates, const ServerId &remembered);
+    static void rank(std::vector<Candidate> &candidates);
+    static bool holds(const ServerState &server, const PlacementQuery &query);
     bool copyPays(const PlacementQuery &query) const;
     /** Load above which a prefix leaves its home. */
-    double spillBound(double meanLoad, std::int64_t sharedTokens) const;
+    double spillBound(double meanLoad) const;
     static Placement chooseLeastLoaded(const std::vector<Candidate> &candidates, double draw);
 
     const FleetView &fleet_;
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -79,8 +79,12 @@
     query_.service = pickService(route, relay.draw());
     query_.affinity = route.cachesPrompts ? promptAffinity(facts.prompt) : 0;
     query_.sharedTokens = sharedTokens(facts.prompt);
-    if (query_.affinity != 0)
-        query_.remembered = relay.homes_.find(query_.affinity, start);
+    if (query_.affinity == 0)
+        return;
+    query_.holders = relay.dependencies_.prompts.find(query_.affinity, start);
+    outcome_.prompt = PromptHolders::keyOf(query_.affinity);
+    outcome_.holders = query_.holders.size();
+    outcome_.sharedTokens = query_.sharedTokens;
 }
 
 RelayOutcome RelayExchange::run()
@@ -353,9 +357,9 @@
         if (!answerBegan_) {
             answerBegan_ = true;
             relay_.dependencies_.loads.answerBegan(server);
-            // A prompt that has only spilled keeps the home on which all instances agree.
-            if (query_.affinity != 0 && outcome_.placement == PlacementReason::Home)
-                relay_.homes_.remember(query_.affinity, server, Clock::now());
+            if (query_.affinity != 0)
+                relay_.dependencies_.prompts.answered(query_.affinity, query_.sharedTokens, server,
+                                                      received);
         }
         const auto events = events_.add(part.value());
         if (events_.madeProgress())
--- a/modules/jy_gateway/relay/RequestRelay.h
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -2,7 +2,6 @@
 
 #include "jy_core/limits/RetryBudget.h"
 #include "jy_gateway/adapter/CallerProtocol.h"
-#include "jy_gateway/placement/HomeMemory.h"
 #include "jy_gateway/placement/ServerChooser.h"
 #include "jy_gateway/relay/LogBudget.h"
 #include "jy_http/client/HttpClient.h"
@@ -37,6 +36,12 @@
 
     /** Server from whose cache the prompt's shared parts were to be copied; may be empty. */
     ServerId copySource;
+
+    /** Key of the prompt's shared parts, how many servers were known to have them, and their
+     * tokens; 0 for requests without a prompt. */
+    std::uint32_t prompt = 0;
+    std::size_t holders = 0;
+    std::int64_t sharedTokens = 0;
 };
 
 struct RelaySettings
@@ -69,6 +74,7 @@
     ServerHealth &health;
     ServerBackoff &backoff;
     ServerChooser &chooser;
+    PromptHolders &prompts;
     const CallerProtocol &protocol;
     Metrics &metrics;
 
@@ -111,7 +117,6 @@
     std::mt19937_64 random_;
     std::uniform_real_distribution<double> uniform_{0.0, 1.0};
     std::map<ServiceId, RetryBudget> budgets_;
-    HomeMemory homes_;
     LogBudget answeredLines_;
     LogBudget failedLines_;
 };
--- a/tests/jy_gateway/PeerTableTest.cpp
+++ b/tests/jy_gateway/PeerTableTest.cpp
@@ -203,7 +203,7 @@
 }
 
 // The budget of control traffic: 14 KB/s for each instance. Load played: each instance has four
-// requests in flight and evidence of twelve servers.
+// requests in flight and evidence of twelve servers, and always has prefixes to tell.
 TEST_P(BeatBudgetTest, BeatsOfOneInstanceStayInTheBudget)
 {
     constexpr double budget = 14'000;
@@ -223,6 +223,7 @@
             sent.use[server] = {1, i == 0 ? 1 : 0};
         sent.evidence[server] = {1.2, 0};
     }
+    sent.cached.resize(table.cachedPerBeat(), {0x12345678, ServerId("i-7f7a58e40")});
     BeatRhythm rhythm;
     std::size_t bytes = 0;
     for (int i = 0; i < beats; ++i) {
--- /dev/null
+++ b/tests/jy_gateway/PromptHoldersTest.cpp
@@ -0,0 +1,256 @@
+#include "InstanceFixture.h"
+
+#include "jy_gateway/peers/BeatCodec.h"
+#include "jy_gateway/placement/PromptHolders.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace jy::test {
+
+namespace {
+
+constexpr std::uint64_t prefix = 7ULL << 32;
+const ServerId one("one");
+const ServerId two("two");
+const CachedPrompt pairAtOne{PromptHolders::keyOf(prefix), one};
+
+struct TellCase
+{
+    std::string name;
+    std::function<void(PromptHolders &)> before;
+    std::vector<CachedPrompt> told;
+};
+
+struct TellTest : testing::TestWithParam<TellCase>
+{ };
+
+// Plays an answer of one server after what came before.
+TEST_P(TellTest, PairsAreToldOnceWhileSomebodyKnowsThem)
+{
+    PromptHolders prompts;
+    GetParam().before(prompts);
+    prompts.answered(prefix, longPrefix, one, start);
+    EXPECT_EQ(prompts.takeNews(10), GetParam().told);
+    EXPECT_TRUE(prompts.takeNews(10).empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, TellTest,
+    testing::Values(TellCase{"New", [](PromptHolders &) {}, {pairAtOne}},
+                    TellCase{"ToldByThisInstance",
+                             [](PromptHolders &prompts) {
+                                 prompts.answered(prefix, longPrefix, one, start - seconds(1));
+                                 prompts.takeNews(10);
+                             },
+                             {}},
+                    TellCase{"ToldByAnother",
+                             [](PromptHolders &prompts) {
+                                 prompts.heard(pairAtOne, start - seconds(1));
+                             },
+                             {}},
+                    TellCase{"ToldLongAgo",
+                             [](PromptHolders &prompts) {
+                                 prompts.heard(pairAtOne,
+                                               start - PromptHolders::repeatAfter - seconds(1));
+                             },
+                             {pairAtOne}},
+                    TellCase{"AnotherServer",
+                             [](PromptHolders &prompts) {
+                                 prompts.heard({pairAtOne.prompt, two}, start - seconds(1));
+                             },
+                             {pairAtOne}}),
+    [](const auto &row) { return row.param.name; });
+
+TEST(PromptHoldersTest, LongPrefixesAreToldFirst)
+{
+    PromptHolders prompts;
+    for (std::uint64_t i = 1; i <= 200; ++i)
+        prompts.answered(i << 32, static_cast<std::int64_t>(i), one, start);
+    const auto first = prompts.takeNews(2);
+    ASSERT_EQ(first.size(), 2U);
+    EXPECT_EQ(first.front().prompt, 200U);
+    EXPECT_EQ(first.back().prompt, 199U);
+    EXPECT_EQ(prompts.takeNews(1000).size(), PromptHolders::maxNews - 2);
+}
+
+TEST(PromptHoldersTest, UnusedPairsAreForgottenAndTheNumberIsBounded)
+{
+    PromptHolders prompts;
+    for (std::uint64_t i = 0; i < 2 * PromptHolders::maxPrompts; ++i)
+        prompts.answered(i << 32, 1, one, start);
+    EXPECT_EQ(prompts.size(), PromptHolders::maxPrompts);
+    EXPECT_EQ(prompts.find(prefix, start + PromptHolders::lifetime).size(), 1U);
+    const auto later = start + PromptHolders::lifetime + seconds(1);
+    EXPECT_TRUE(prompts.find(prefix, later).empty());
+    prompts.answered(99'999ULL << 32, 1, one, later);
+    EXPECT_EQ(prompts.size(), 1U);
+    for (int i = 0; i < 50; ++i)
+        prompts.heard({pairAtOne.prompt, ServerId(std::to_string(i))}, later + milliseconds(i));
+    const auto holders = prompts.find(prefix, later + seconds(1));
+    EXPECT_EQ(holders.size(), PromptHolders::maxHolders);
+    EXPECT_TRUE(
+        std::ranges::any_of(holders, [](const auto &h) { return h.server.value() == "49"; }));
+}
+
+TEST(PromptHoldersTest, BeatsCarryPairsOfKnownServers)
+{
+    InstanceBeat beat{.brief = true, .instance = {.id = InstanceId("b")}};
+    beat.cached = {pairAtOne, {9, two}};
+    const InstanceId sender("b");
+    const auto received = decodeBeat(
+        encodeBeat(beat), [](std::uint32_t hash) { return hash == beatHash(one) ? &one : nullptr; },
+        [&](std::uint32_t) { return &sender; });
+    ASSERT_TRUE(received);
+    EXPECT_EQ(received.value().cached, std::vector{pairAtOne});
+}
+
+/** Instances before the same servers, which tell each other by datagrams or not at all. */
+class PromptFleet
+{
+public:
+    PromptFleet(int instances, int servers)
+    {
+        for (int i = 0; i < instances; ++i)
+            instances_.push_back(std::make_unique<Member>("i" + std::to_string(i)));
+        for (int i = 0; i < servers; ++i)
+            add();
+    }
+
+    /** One server leaves, and an empty one takes its place. */
+    void replaceServer()
+    {
+        const ServerRemoved removed{ServerId("s" + std::to_string(oldest_++))};
+        for (auto &member : instances_)
+            member->instance.fleet.apply(removed, now_);
+        add();
+    }
+
+    void request(std::mt19937_64 &random, int prefixes)
+    {
+        auto &member = *instances_[random() % instances_.size()];
+        const std::uint64_t affinity = (1 + random() % static_cast<std::uint64_t>(prefixes)) << 32;
+        const auto placement =
+            member.instance.chooser.choose({.service = engines,
+                                            .affinity = affinity,
+                                            .sharedTokens = longPrefix,
+                                            .holders = member.prompts.find(affinity, now_)},
+                                           0, now_);
+        auto &holders = holders_[affinity];
+        const bool found = holders.contains(placement.server);
+        const bool copied = !found && holders.contains(placement.cachedAt);
+        readAgain_ += !holders.empty() && !found && !copied ? 1 : 0;
+        copied_ += copied ? 1 : 0;
+        holders.insert(placement.server);
+        member.prompts.answered(affinity, longPrefix, placement.server, now_);
+        for (auto &other : instances_)
+            other->instance.loads.start(placement.server);
+        running_.push_back(placement.server);
+        if (running_.size() > servers_ * 4) {
+            for (auto &other : instances_)
+                other->instance.loads.finish(running_.front(), false);
+            running_.pop_front();
+        }
+    }
+
+    /** Lets time pass; with @p telling, every instance sends a beat. */
+    void pass(milliseconds time, bool telling)
+    {
+        now_ += time;
+        for (auto &member : instances_) {
+            const auto news = member->prompts.takeNews(8);
+            for (auto &other : instances_) {
+                for (const auto &pair : news) {
+                    if (telling && other != member)
+                        other->prompts.heard(pair, now_);
+                }
+            }
+        }
+    }
+
+    int readAgain() const { return readAgain_; }
+    int copied() const { return copied_; }
+
+private:
+    struct Member
+    {
+        explicit Member(const std::string &id)
+            : instance(id)
+        { }
+        Instance instance;
+        PromptHolders prompts;
+    };
+
+    void add()
+    {
+        auto listed = server("s" + std::to_string(servers_++), engines);
+        listed.slots = 64;
+        for (auto &member : instances_)
+            member->instance.fleet.apply(ServerWritten{listed}, now_);
+    }
+
+    std::vector<std::unique_ptr<Member>> instances_;
+    std::map<std::uint64_t, std::set<ServerId>> holders_;
+    std::deque<ServerId> running_;
+    std::size_t servers_ = 0;
+    int oldest_ = 0;
+    int readAgain_ = 0;
+    int copied_ = 0;
+    TimePoint now_ = start;
+};
+
+struct FleetShape
+{
+    int instances;
+    int servers;
+    int prefixes;
+    int requestsPerSecond;
+};
+
+struct PromptFleetTest : testing::TestWithParam<FleetShape>
+{ };
+
+// Load played: long prefixes that are used every few seconds, each time through another instance,
+// while a third of the servers is replaced. A caller whose prefix is read again waits for it, and
+// so do those behind it. A prefix can only be lost with the last server that has it; instances that
+// tell each other read a fifth as much again as instances that do not.
+TEST_P(PromptFleetTest, PrefixesAreFoundAfterServersWereReplaced)
+{
+    const auto &shape = GetParam();
+    const auto play = [&](bool telling) {
+        std::mt19937_64 random(5);
+        PromptFleet fleet(shape.instances, shape.servers);
+        for (int tenth = 0; tenth < 300; ++tenth) {
+            if (tenth >= 100 && tenth % 20 == 0 && tenth / 20 < 5 + shape.servers / 3)
+                fleet.replaceServer();
+            for (int i = 0; i < shape.requestsPerSecond / 10; ++i)
+                fleet.request(random, shape.prefixes);
+            fleet.pass(milliseconds(100), telling);
+        }
+        return fleet.readAgain();
+    };
+    const int alone = play(false);
+    const int together = play(true);
+    EXPECT_GT(alone, 0);
+    EXPECT_LE(together, alone / 5) << "alone: " << alone;
+}
+
+INSTANTIATE_TEST_SUITE_P(Shapes, PromptFleetTest,
+                         testing::Values(FleetShape{6, 9, 40, 60}, FleetShape{8, 18, 100, 100},
+                                         FleetShape{68, 90, 400, 400}),
+                         [](const auto &row) {
+                             return std::to_string(row.param.instances) + "Instances"
+                                 + std::to_string(row.param.servers) + "Servers";
+                         });
+
+} // namespace
+
+} // namespace jy::test
