Notice silent servers, wait for the first configuration, keep homes recoverable

Change: (1) a request waits up to 0.5 s, and a quarter of its caller's patience, for the first configuration while the store has not failed. (2) StallDetector: a server from which nothing came for longer than one of its requests expects is left out until it is heard, and beats tell it. Repeatable requests that wait there for the begin of their answer move at once. What is expected follows the route's target, its pause target, and what its requests usually take (RouteWaits), so that a route of slow requests blames no server.

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -102,7 +102,7 @@
     , peers_(self_.id)
     , incarnation_(unixMilliseconds())
     , cold_(self_.id)
-    , chooser_(fleet_, loads_, health_, backoff_, cold_)
+    , chooser_(fleet_, loads_, health_, backoff_, stalls_, cold_)
     , relay_({.client = *serverClient_,
               .fleet = fleet_,
               .loads = loads_,
@@ -110,9 +110,11 @@
               .backoff = backoff_,
               .chooser = chooser_,
               .prompts = prompts_,
+              .stalls = stalls_,
               .protocol = adapter_.protocol,
               .metrics = metrics_,
               .bodyBudget = bodyBudget_,
+              .awaitConfig = [this](milliseconds longest) { awaitConfig(longest); },
               .readyAfter =
                   [this] { return sync_.lost() ? storeOutageRetryAfter : startupRetryAfter; },
               .minimumRetryRate = [this] { return minimumRetryRate(); }},
@@ -188,6 +190,7 @@
         "registration", [this](StopToken &stop) { registration_.run(stop); }, ChildKind::Transient);
     supervisor_->addChild("beats", [this](StopToken &stop) { runBeats(stop); });
     supervisor_->addChild("housekeeping", [this](StopToken &stop) { runHousekeeping(stop); });
+    supervisor_->addChild("stall-checks", [this](StopToken &stop) { runStallChecks(stop); });
     supervisor_->addChild("peer-copies", [this](StopToken &stop) { runPeerCopies(stop); });
 }
 
--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -62,6 +62,7 @@
     void answerReadiness(HttpResponder &responder) const;
     void answerControl(const HttpRequest &request, HttpResponder &responder);
     void answerStoreChanges(const HttpRequest &request, HttpResponder &responder);
+    void awaitConfig(std::chrono::milliseconds longest);
     StoreCopy storeCopy(std::vector<StoreItem> items) const;
     std::vector<Endpoint> readers() const;
 
@@ -80,6 +81,7 @@
     void runBeats(StopToken &stop);
     void runHousekeeping(StopToken &stop);
     void runPeerCopies(StopToken &stop);
+    void runStallChecks(StopToken &stop);
     void fetchPeerCopy();
     void applyLimits();
     void waitForSignals();
@@ -124,6 +126,7 @@
     LoadTable loads_;
     ServerHealth health_;
     ServerBackoff backoff_;
+    StallDetector stalls_;
     ColdAllowance cold_;
     ServerChooser chooser_;
     PromptHolders prompts_;
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -22,6 +22,9 @@
 
 constexpr milliseconds housekeepingPeriod{250};
 
+// A small part of the shortest target, after which a silent server counts as stalled.
+constexpr milliseconds stallCheckPeriod{50};
+
 // A longer gap between two beats means that this process stood still.
 constexpr milliseconds standstill{1500};
 
@@ -185,6 +188,12 @@
                    encodeStoreCopy(storeCopy(std::move(*changes))));
 }
 
+void Gateway::awaitConfig(milliseconds longest)
+{
+    std::unique_lock lock(mergedMutex_);
+    merged_.wait_for(lock, longest, [this] { return fleet_.config() || sync_.lost(); });
+}
+
 void Gateway::storeLost(const Error &error)
 {
     {
@@ -231,6 +240,7 @@
     for (const auto &pair : beat.value().cached)
         prompts_.heard(pair, now);
     loads_.setPeerUse(id, beat.value().use, now);
+    stalls_.setPeerStalled(id, beat.value().stalled, now);
     if (!beat.value().brief)
         health_.setPeerEvidence(id, beat.value().evidence, now);
 }
@@ -255,7 +265,8 @@
                             .use = loads_.own(),
                             .evidence = std::move(evidence),
                             .leaving = fleet_.announcedLeaving(),
-                            .cached = prompts_.takeNews(peers_.cachedPerBeat())};
+                            .cached = prompts_.takeNews(peers_.cachedPerBeat()),
+                            .stalled = stalls_.ownStalled(Clock::now())};
     const auto bytes = encodeBeat(beat);
     const bool everywhere = reach == BeatReach::Everywhere;
     for (const auto &to : everywhere ? peers_.allDestinations() : peers_.destinations())
@@ -330,6 +341,12 @@
     }
 }
 
+void Gateway::runStallChecks(StopToken &stop)
+{
+    while (stop.sleepFor(stallCheckPeriod))
+        stalls_.check(Clock::now());
+}
+
 void Gateway::runPeerCopies(StopToken &stop)
 {
     while (stop.sleepFor(peerCopyDelay)) {
--- a/modules/jy_gateway/jy_gateway.h
+++ b/modules/jy_gateway/jy_gateway.h
@@ -22,6 +22,7 @@
 #include "jy_gateway/placement/PromptHolders.h"
 #include "jy_gateway/placement/ServerBackoff.h"
 #include "jy_gateway/placement/ServerChooser.h"
+#include "jy_gateway/placement/StallDetector.h"
 #include "jy_gateway/placement/ServerHealth.h"
 #include "jy_gateway/registry/FleetView.h"
 #include "jy_gateway/registry/InstanceEntry.h"
--- a/modules/jy_gateway/peers/BeatCodec.cpp
+++ b/modules/jy_gateway/peers/BeatCodec.cpp
@@ -23,6 +23,10 @@
 constexpr std::size_t leavingEntryBytes = 15;
 constexpr int maxLeaving = 24;
 
+// Stalled servers that one beat names; a failure domain of a large fleet has some more.
+constexpr int maxStalled = 32;
+constexpr std::size_t stalledEntryBytes = 4;
+
 // Room for the fields of a beat other than its loads.
 constexpr std::size_t fixedBytes = 240;
 
@@ -87,6 +91,25 @@
     }
 }
 
+void addStalled(const std::vector<ServerId> &stalled, wire::Beat &message)
+{
+    for (const auto &server : stalled) {
+        if (message.stalled_size() == maxStalled)
+            return;
+        message.add_stalled(beatHash(server));
+    }
+}
+
+std::vector<ServerId> readStalled(const wire::Beat &message, const ServerByHash &findServer)
+{
+    std::vector<ServerId> stalled;
+    for (const auto hash : message.stalled()) {
+        if (const auto *server = findServer(hash))
+            stalled.push_back(*server);
+    }
+    return stalled;
+}
+
 std::vector<CachedPrompt> readCached(const wire::Beat &message, const ServerByHash &findServer)
 {
     std::vector<CachedPrompt> cached;
@@ -223,10 +246,12 @@
     message.set_brief(beat.brief);
     addLeaving(beat.leaving, message);
     addCached(beat.cached, message);
+    addStalled(beat.stalled, message);
     const auto room =
         roomLeft(maxBeatBytes,
                  fixedBytes + static_cast<std::size_t>(message.leaving_size()) * leavingEntryBytes
-                     + beat.cached.size() * packedEntryBytes);
+                     + beat.cached.size() * packedEntryBytes
+                     + static_cast<std::size_t>(message.stalled_size()) * stalledEntryBytes);
     if (beat.brief || beat.group) {
         message.set_brief(true);
         message.set_instance_hash(peerHash(beat.instance.id));
@@ -280,6 +305,7 @@
             beat.leaving[*server] = leaving.born();
     }
     beat.cached = readCached(message, findServer);
+    beat.stalled = readStalled(message, findServer);
     return beat;
 }
 
--- a/modules/jy_gateway/peers/PeerTable.h
+++ b/modules/jy_gateway/peers/PeerTable.h
@@ -53,6 +53,9 @@
     /** Prompt prefixes that servers have read for this instance, see PromptHolders. */
     std::vector<CachedPrompt> cached;
 
+    /** Servers that have gone silent, see StallDetector. */
+    std::vector<ServerId> stalled;
+
     /** Set in a report; the message then contains nothing about the sender itself. */
     std::optional<GroupReport> group;
 };
--- a/modules/jy_gateway/placement/ServerChooser.cpp
+++ b/modules/jy_gateway/placement/ServerChooser.cpp
@@ -42,11 +42,12 @@
 
 ServerChooser::ServerChooser(const FleetView &fleet, const LoadTable &loads,
                              const ServerHealth &health, const ServerBackoff &backoff,
-                             ColdAllowance &cold)
+                             const StallDetector &stalls, ColdAllowance &cold)
     : fleet_(fleet)
     , loads_(loads)
     , health_(health)
     , backoff_(backoff)
+    , stalls_(stalls)
     , cold_(cold)
 { }
 
@@ -109,7 +110,8 @@
         candidate.penalty = std::max(0.0, excess) * penaltyScale;
         candidate.rank = rendezvousScore(query.affinity, id.value());
         candidate.holds = holds(*server, query);
-        (health_.paused(id, now) ? lastResort : all).push_back(candidate);
+        const bool silent = health_.paused(id, now) || stalls_.stalled(id, now);
+        (silent ? lastResort : all).push_back(candidate);
     }
     if (all.empty())
         all = std::move(lastResort);
@@ -156,17 +158,21 @@
     });
 }
 
-void ServerChooser::rank(std::vector<Candidate> &candidates)
+void ServerChooser::rank(std::vector<Candidate> &candidates, bool homeFirst)
 {
     std::ranges::sort(candidates, std::ranges::greater(), [](const Candidate &candidate) {
         return std::pair(candidate.holds, candidate.rank);
     });
+    if (!homeFirst)
+        return;
+    const auto home = std::ranges::max_element(candidates, {}, &Candidate::rank);
+    std::rotate(candidates.begin(), home, home + 1);
 }
 
 Placement ServerChooser::chooseHome(Usable &usable, const PlacementQuery &query) const
 {
     auto &candidates = usable.candidates;
-    rank(candidates);
+    rank(candidates, copyPays(query));
     const double bound = spillBound(usable.meanLoad);
     for (const auto &candidate : candidates) {
         if (candidate.load + candidate.penalty + 1 > bound || candidate.waiting >= waitingLimit)
@@ -221,7 +227,7 @@
                  .rank = rendezvousScore(query.affinity, server->listed.id.value()),
                  .holds = holds(*server, query)});
     }
-    rank(candidates);
+    rank(candidates, true);
     const auto *chosen = fleet_.findServer(placement.server);
     if (!chosen || holds(*chosen, query))
         return;
--- a/modules/jy_gateway/placement/ServerChooser.h
+++ b/modules/jy_gateway/placement/ServerChooser.h
@@ -5,6 +5,7 @@
 #include "jy_gateway/placement/PromptHolders.h"
 #include "jy_gateway/placement/ServerBackoff.h"
 #include "jy_gateway/placement/ServerHealth.h"
+#include "jy_gateway/placement/StallDetector.h"
 #include "jy_gateway/registry/FleetView.h"
 
 #include <cstdint>
@@ -67,12 +68,12 @@
  * Requests with a shared prompt prefix go to the server that ranks first by rendezvous hashing of
  * that prefix, or to the next one in rank while the load there exceeds a bound near the mean of the
  * service (consistent hashing with bounded loads), so that a prefix in heavy use spreads over the
- * same few servers on every instance. Servers that are known to have the prefix go before the
- * others in that ranking, and one that has not copies it from the nearest that has. Other requests
- * are short, so what other instances reported is out of date when it arrives, and all instances
- * would choose the same server by it: these requests go to the server with the fewest own requests
- * in flight, by chance among equals. Answers the load of a few busy prefixes, of many instances
- * before few servers, and of servers that fail part of their requests.
+ * same few servers on every instance. Behind the first one, servers that are known to have the
+ * prefix go before the others, and one that has not copies it from the nearest that has. Other
+ * requests are short, so what other instances reported is out of date when it arrives, and all
+ * instances would choose the same server by it: these requests go to the server with the fewest own
+ * requests in flight, by chance among equals. Answers the load of a few busy prefixes, of many
+ * instances before few servers, and of servers that fail part of their requests.
  */
 class ServerChooser
 {
@@ -100,7 +101,7 @@
     static constexpr double tokensReadPerMs = 45;
 
     ServerChooser(const FleetView &fleet, const LoadTable &loads, const ServerHealth &health,
-                  const ServerBackoff &backoff, ColdAllowance &cold);
+                  const ServerBackoff &backoff, const StallDetector &stalls, ColdAllowance &cold);
 
     /**
      * Sets how old the reports of other instances are. Prompts spill earlier by old reports,
@@ -149,8 +150,13 @@
      * twice the time. Null when there is none. */
     static const Candidate *nearestHolder(const std::vector<Candidate> &candidates,
                                           const DomainId &domain);
-    /** Orders by how likely a server is to have cached the prefix. */
-    static void rank(std::vector<Candidate> &candidates);
+    /**
+     * Orders by how likely a server is to have cached the prefix.
+     *
+     * @param homeFirst the home by the hash goes before known holders. It can copy the prefix, and
+     *        it is what remains known when all instances start again.
+     */
+    static void rank(std::vector<Candidate> &candidates, bool homeFirst);
     static bool holds(const ServerState &server, const PlacementQuery &query);
     bool copyPays(const PlacementQuery &query) const;
     /** Load above which a prefix leaves its home. */
@@ -161,6 +167,7 @@
     const LoadTable &loads_;
     const ServerHealth &health_;
     const ServerBackoff &backoff_;
+    const StallDetector &stalls_;
     ColdAllowance &cold_;
     std::chrono::milliseconds reportAge_{0};
 };
--- /dev/null
+++ b/modules/jy_gateway/placement/StallDetector.cpp
@@ -0,0 +1,91 @@
+#include "jy_gateway/placement/StallDetector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jy {
+
+StallDetector::RequestKey StallDetector::begin(const ServerId &server,
+                                               std::chrono::milliseconds patience, TimePoint now,
+                                               std::function<void()> onStall)
+{
+    servers_[server].requests[nextKey_] = {patience, now, std::move(onStall)};
+    return nextKey_++;
+}
+
+void StallDetector::heard(const ServerId &server, RequestKey request,
+                          std::chrono::milliseconds patience, TimePoint now)
+{
+    auto &state = servers_.at(server);
+    state.heard = now;
+    state.requests.at(request) = {.patience = patience, .since = now};
+}
+
+void StallDetector::end(const ServerId &server, RequestKey request)
+{
+    const auto found = servers_.find(server);
+    found->second.requests.erase(request);
+    if (found->second.requests.empty())
+        servers_.erase(found);
+}
+
+bool StallDetector::isStalled(const Server &server, TimePoint now)
+{
+    return std::ranges::any_of(server.requests, [&](const auto &entry) {
+        const auto &request = entry.second;
+        return now - std::max(request.since, server.heard) > request.patience;
+    });
+}
+
+bool StallDetector::peerStalled(const ServerId &server, TimePoint now) const
+{
+    const auto found = told_.find(server);
+    if (found == told_.end())
+        return false;
+    const auto own = servers_.find(server);
+    return std::ranges::any_of(found->second, [&](const auto &entry) {
+        const auto told = entry.second;
+        const bool refuted = own != servers_.end() && own->second.heard >= told;
+        return now - told <= peerLifetime && !refuted;
+    });
+}
+
+bool StallDetector::stalled(const ServerId &server, TimePoint now) const
+{
+    const auto own = servers_.find(server);
+    return (own != servers_.end() && isStalled(own->second, now)) || peerStalled(server, now);
+}
+
+std::vector<ServerId> StallDetector::ownStalled(TimePoint now) const
+{
+    std::vector<ServerId> result;
+    for (const auto &[server, state] : servers_) {
+        if (isStalled(state, now))
+            result.push_back(server);
+    }
+    return result;
+}
+
+void StallDetector::setPeerStalled(const InstanceId &instance, const std::vector<ServerId> &servers,
+                                   TimePoint now)
+{
+    for (auto &[server, instances] : told_)
+        instances.erase(instance);
+    for (const auto &server : servers)
+        told_[server][instance] = now;
+    std::erase_if(told_, [](const auto &entry) { return entry.second.empty(); });
+}
+
+void StallDetector::check(TimePoint now)
+{
+    for (auto &[server, state] : servers_) {
+        if (!stalled(server, now))
+            continue;
+        for (auto &[key, request] : state.requests) {
+            if (const auto onStall = std::exchange(request.onStall, {}))
+                onStall();
+        }
+    }
+}
+
+} // namespace jy
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -136,8 +136,24 @@
               {"copy_from", placement.cachedAt},
               {"candidates", placement.candidates},
               {"time_left_ms", timeLeft()}});
+    // Ends with the caller, or when the server stalls before the answer of a repeatable request.
+    const auto cancellation = Cancellation::create();
+    const auto registration =
+        responder_.cancellation()->onCancel([cancellation] { cancellation->cancel(); });
+    stalled_ = false;
+    std::function<void()> onStall;
+    if (route_.repeatable() && sentTo_ + 1 < route_.maxAttempts) {
+        onStall = [this, cancellation] {
+            stalled_ = true;
+            cancellation->cancel();
+        };
+    }
+    attemptStart_ = Clock::now();
+    patience_ = relay_.waits_.patience(route_.name, route_.latencyTarget);
+    watch_ = dependencies.stalls.begin(listed.id, patience_, attemptStart_, std::move(onStall));
+    const auto watched = absl::MakeCleanup([&] { dependencies.stalls.end(listed.id, watch_); });
     HttpCallOptions options;
-    options.cancellation = responder_.cancellation();
+    options.cancellation = cancellation;
     options.keepHost = true;
     options.isOwnResponse = [this](int status, const HttpHeaders &headers) {
         const auto answer = relay_.dependencies_.protocol.describeAnswer(status, headers);
@@ -192,6 +208,13 @@
     lastError_ = error;
     switch (error.kind) {
     case ErrorKind::Cancelled:
+        if (stalled_ && !responder_.callerGone()) {
+            // Its other requests may have ended by now, so that nothing else tells of the silence.
+            record(server, ServerOutcome::Silent);
+            mayHaveRun_ = true;
+            lastError_ = {ErrorKind::DeadlineExceeded, "the backend server is silent", {}};
+            return Step::MayHaveRun;
+        }
         outcome_.reason = "caller-gone";
         return Step::Done;
     case ErrorKind::ConnectFailed:
@@ -201,7 +224,11 @@
     case ErrorKind::Overloaded:
         return Step::NotSent;
     case ErrorKind::DeadlineExceeded:
-        record(server, ServerOutcome::Silent);
+        // On a route whose requests usually take so long, the server is not to blame.
+        if (Clock::now() - attemptStart_ > patience_)
+            record(server, ServerOutcome::Silent);
+        if (!answerBegan_)
+            noteWait();
         mayHaveRun_ = true;
         return Step::MayHaveRun;
     default:
@@ -237,6 +264,8 @@
 {
     const auto facts =
         relay_.dependencies_.protocol.describeAnswer(stream.status(), stream.headers());
+    relay_.dependencies_.stalls.heard(listed.id, watch_, route_.pauseTarget, Clock::now());
+    noteWait();
     noteServer(facts, listed);
     const auto &server = listed.id;
     switch (judgeAnswer(stream.status(), facts)) {
@@ -349,6 +378,7 @@
         if (part.value().empty())
             break;
         const auto received = Clock::now();
+        relay_.dependencies_.stalls.heard(server, watch_, route_.pauseTarget, received);
         if (outcome_.firstPart.count() == 0)
             outcome_.firstPart = received - start_;
         else
@@ -451,6 +481,11 @@
     responder_.send(response);
 }
 
+void RelayExchange::noteWait()
+{
+    relay_.waits_.add(route_.name, std::chrono::ceil<milliseconds>(Clock::now() - attemptStart_));
+}
+
 void RelayExchange::record(const ServerId &server, ServerOutcome outcome)
 {
     relay_.dependencies_.health.record(server, outcome, Clock::now());
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -50,6 +50,7 @@
     void giveUp();
     void answerError(const Error &error);
     void record(const ServerId &server, ServerOutcome outcome);
+    void noteWait();
 
     Duration timeLeft() const;
 
@@ -86,6 +87,15 @@
     /** The answer of the current attempt has begun. */
     bool answerBegan_ = false;
 
+    /** The current attempt at the stall detector, and whether it was ended because its server is
+     * stalled. */
+    StallDetector::RequestKey watch_ = 0;
+    bool stalled_ = false;
+
+    /** When the current attempt began, and the time after which its wait is unusually long. */
+    TimePoint attemptStart_;
+    std::chrono::milliseconds patience_{0};
+
     /** Servers that got at least a part of the request. */
     int sentTo_ = 0;
 
--- a/modules/jy_gateway/relay/RequestRelay.cpp
+++ b/modules/jy_gateway/relay/RequestRelay.cpp
@@ -24,6 +24,8 @@
 {
     const auto start = Clock::now();
     const auto facts = dependencies_.protocol.describeRequest(request.headers);
+    if (!dependencies_.fleet.config())
+        dependencies_.awaitConfig(startupWait(facts));
     const auto config = dependencies_.fleet.config();
     const Route *route = nullptr;
     const auto reject = [&](const Error &error) {
@@ -54,6 +56,14 @@
     finish(request, facts, route, outcome, Clock::now() - start);
 }
 
+std::chrono::milliseconds RequestRelay::startupWait(const RequestFacts &facts) const
+{
+    // Callers that state little time need the rest of it for the request itself.
+    constexpr int shareOfPatience = 4;
+    const auto most = settings_.startupWait;
+    return facts.patience ? std::min(most, *facts.patience / shareOfPatience) : most;
+}
+
 RetryBudget &RequestRelay::budgetFor(const ServiceId &service)
 {
     auto &budget = budgets_.try_emplace(service, RetryBudgetSettings{.share = settings_.retryShare})
--- a/modules/jy_gateway/relay/RequestRelay.h
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -4,6 +4,7 @@
 #include "jy_gateway/adapter/CallerProtocol.h"
 #include "jy_gateway/placement/ServerChooser.h"
 #include "jy_gateway/relay/LogBudget.h"
+#include "jy_gateway/relay/RouteWaits.h"
 #include "jy_http/client/HttpClient.h"
 #include "jy_http/messages/ByteBudget.h"
 #include "jy_http/server/HttpResponder.h"
@@ -55,6 +56,12 @@
      */
     std::chrono::milliseconds resumeSilence{1000};
 
+    /**
+     * Time for which requests wait for the first configuration. An instance that has just started
+     * reads it within a tenth of this; a caller that is refused may have no attempt left.
+     */
+    std::chrono::milliseconds startupWait{500};
+
     /** Share of a service's requests that may be sent again; the fleet's bound is twice this. */
     double retryShare = 0.1;
 
@@ -75,12 +82,16 @@
     ServerBackoff &backoff;
     ServerChooser &chooser;
     PromptHolders &prompts;
+    StallDetector &stalls;
     const CallerProtocol &protocol;
     Metrics &metrics;
 
     /** Memory for bodies, of requests and of answers. */
     std::shared_ptr<ByteBudget> bodyBudget;
 
+    /** Waits for the first configuration; returns early when none is expected within @p longest. */
+    std::function<void(std::chrono::milliseconds longest)> awaitConfig;
+
     /** Time after which this instance is likely to know a configuration that it lacks now. */
     std::function<std::chrono::milliseconds()> readyAfter;
 
@@ -107,6 +118,7 @@
 private:
     friend class RelayExchange;
 
+    std::chrono::milliseconds startupWait(const RequestFacts &facts) const;
     RetryBudget &budgetFor(const ServiceId &service);
     double draw() { return uniform_(random_); }
     void finish(const HttpRequest &request, const RequestFacts &facts, const Route *route,
@@ -117,6 +129,7 @@
     std::mt19937_64 random_;
     std::uniform_real_distribution<double> uniform_{0.0, 1.0};
     std::map<ServiceId, RetryBudget> budgets_;
+    RouteWaits waits_;
     LogBudget answeredLines_;
     LogBudget failedLines_;
 };
--- a/tests/jy_gateway/InstanceFixture.h
+++ b/tests/jy_gateway/InstanceFixture.h
@@ -15,7 +15,7 @@
 {
     explicit Instance(const std::string &id = "instance")
         : cold(InstanceId(id))
-        , chooser(fleet, loads, health, backoff, cold)
+        , chooser(fleet, loads, health, backoff, stalls, cold)
     {
         fleet.apply(ConfigWritten{twoServices()}, start);
     }
@@ -36,6 +36,7 @@
     LoadTable loads;
     ServerHealth health;
     ServerBackoff backoff;
+    StallDetector stalls;
     ColdAllowance cold;
     ServerChooser chooser;
 };
--- a/tests/jy_gateway/RelayFixture.h
+++ b/tests/jy_gateway/RelayFixture.h
@@ -57,7 +57,7 @@
         : loop_(loop)
         , client_(HttpClient::create(loop, {.connectTimeout = milliseconds(300)}))
         , cold_(InstanceId("self"))
-        , chooser_(fleet, loads_, health_, backoff_, cold_)
+        , chooser_(fleet, loads_, health_, backoff_, stalls, cold_)
         , protocol_(testProtocol())
         , relay_({.client = *client_,
                   .fleet = fleet,
@@ -66,9 +66,11 @@
                   .backoff = backoff_,
                   .chooser = chooser_,
                   .prompts = prompts_,
+                  .stalls = stalls,
                   .protocol = protocol_,
                   .metrics = metrics_,
                   .bodyBudget = budget,
+                  .awaitConfig = [this](milliseconds longest) { awaitConfig(longest); },
                   .readyAfter = [] { return milliseconds(700); },
                   .minimumRetryRate = [this] { return retryRate; }},
                  {.resumeSilence = milliseconds(200)}, 1)
@@ -128,7 +130,11 @@
     }
 
     FleetView fleet;
+
+    /** What happens while a request waits for the first configuration. */
+    std::function<void(milliseconds longest)> awaitConfig = [](milliseconds) {};
     double retryRate = 10;
+    StallDetector stalls;
     std::shared_ptr<ByteBudget> budget = std::make_shared<ByteBudget>(256 * 1024);
 
     void listBackend(const Endpoint &endpoint) { list(endpoint); }
--- a/tests/jy_gateway/RequestRelayTest.cpp
+++ b/tests/jy_gateway/RequestRelayTest.cpp
@@ -13,6 +13,24 @@
     });
 }
 
+// Load played: all instances start at once, and callers whose first attempt was cut off return
+// before the configuration has been read. They were refused and had no attempt left.
+TEST(RequestRelayTest, RequestsWaitForTheFirstConfiguration)
+{
+    withRelay([](RelayFixture &relay) {
+        int calls = 0;
+        relay.addBackend(answer(200, sealed, calls));
+        milliseconds longest{0};
+        relay.awaitConfig = [&](milliseconds most) {
+            longest = most;
+            relay.configure({});
+        };
+        EXPECT_EQ(relay.call({{"Id", "r1"}, {"Patience", "800"}}).value().status, 200);
+        EXPECT_EQ(longest, milliseconds(200)) << "a quarter of what the caller waits";
+        EXPECT_EQ(calls, 1);
+    });
+}
+
 TEST(RequestRelayTest, KeysDecideAboutTheWorkspace)
 {
     withRelay([](RelayFixture &relay) {
--- a/tests/jy_gateway/ServerChooserTest.cpp
+++ b/tests/jy_gateway/ServerChooserTest.cpp
@@ -22,8 +22,9 @@
     }
 }
 
-// Servers that joined took over a part of all prefixes and had to read them.
-TEST(ServerChooserTest, PrefixInUseStaysWhenServersJoin)
+// Servers that joined took over a part of all prefixes and had to read them. Those that are not
+// worth a copy stay; of the others, the new home gets a copy.
+TEST(ServerChooserTest, PrefixInUseIsNotReadAgainWhenServersJoin)
 {
     Instance instance;
     instance.add(5, engines);
@@ -40,6 +41,10 @@
                                    .affinity = prefix,
                                    .holders = prompts.find(prefix, start + seconds(5))};
         EXPECT_EQ(instance.chooser.choose(query, 0, start).server, home);
+        auto longQuery = query;
+        longQuery.sharedTokens = longPrefix;
+        const auto placement = instance.chooser.choose(longQuery, 0, start);
+        EXPECT_EQ(placement.cachedAt, placement.server == home ? ServerId() : home);
     }
 }
 
@@ -88,6 +93,76 @@
     EXPECT_TRUE(use.contains(chosen.server));
 }
 
+// Load played: a busy prefix that has spilled before. It went to the next server by the hash, which
+// read or copied it once more.
+TEST(ServerChooserTest, BusyPrefixSpillsToAServerThatHasIt)
+{
+    Instance instance;
+    instance.add(9, engines);
+    const auto home = instance.choose(engines, 7).server;
+    instance.loads.setPeerUse(InstanceId("other"), {{home, {9, 0}}}, start);
+    const auto next = instance.choose(engines, 7).server;
+    for (int i = 0; i < 9; ++i) {
+        const ServerId holder("s" + std::to_string(i));
+        if (holder == home || holder == next)
+            continue;
+        const PlacementQuery query{.service = engines,
+                                   .affinity = 7,
+                                   .sharedTokens = longPrefix,
+                                   .holders = {{holder, start}}};
+        const auto placement = instance.chooser.choose(query, 0, start);
+        EXPECT_EQ(placement.server, holder);
+        EXPECT_TRUE(placement.cachedAt.empty());
+    }
+}
+
+// A server that started again has lost its cache, so it is neither preferred nor copied from.
+TEST(ServerChooserTest, RestartedServerHoldsNothing)
+{
+    Instance instance;
+    instance.add(9, engines);
+    const auto home = instance.choose(engines, 7).server;
+    instance.loads.setPeerUse(InstanceId("other"), {{home, {9, 0}}}, start);
+    const auto next = instance.choose(engines, 7).server;
+    const ServerId holder(home.value() == "s3" || next.value() == "s3" ? "s4" : "s3");
+    auto listed = instance.fleet.findServer(holder)->listed;
+    listed.born += 60'000;
+    instance.fleet.apply(ServerWritten{listed}, start + seconds(1));
+    const PlacementQuery query{.service = engines,
+                               .affinity = 7,
+                               .sharedTokens = longPrefix,
+                               .holders = {{holder, start}}};
+    const auto placement = instance.chooser.choose(query, 0, start + seconds(10));
+    EXPECT_EQ(placement.server, next);
+    EXPECT_NE(placement.cachedAt, holder);
+}
+
+// Copies between domains take twice the time.
+TEST(ServerChooserTest, CopiesComeFromTheSameDomainIfPossible)
+{
+    for (const std::uint64_t prefix : {7, 8, 9}) {
+        Instance instance;
+        for (int i = 0; i < 9; ++i)
+            instance.fleet.apply(
+                ServerWritten{server("s" + std::to_string(i), engines, i % 2 == 0 ? "a" : "b")},
+                start);
+        std::vector<PromptHolder> holders;
+        const auto home = instance.choose(engines, prefix).server;
+        for (const auto &[id, state] : instance.fleet.servers()) {
+            if (id != home)
+                holders.push_back({id, start});
+        }
+        const auto placement = instance.chooser.choose({.service = engines,
+                                                        .affinity = prefix,
+                                                        .sharedTokens = longPrefix,
+                                                        .holders = holders},
+                                                       0, start);
+        EXPECT_EQ(placement.server, home);
+        EXPECT_EQ(instance.fleet.findServer(placement.cachedAt)->listed.domain,
+                  instance.fleet.findServer(home)->listed.domain);
+    }
+}
+
 TEST(ServerChooserTest, BusyPrefixSpillsToTheNextInRank)
 {
     Instance instance;
