Groups tell each other which server has which prompt prefix cached

Cause: above 128 instances beats reach only the own group, so an instance of the large site heard of a sixteenth of what the fleet has cached. Change: reports carry what the members of the group have told, the latest first, within 0.5 KB/s; beats give 1 KB/s instead of 1.4, so that both stay in the budget (BeatBudgetTest, at 360 too).

--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -233,6 +233,8 @@
     }
     if (beat.value().group) {
         receiveReport(*beat.value().group, now);
+        for (const auto &pair : beat.value().cached)
+            prompts_.heardElsewhere(pair, now);
         return;
     }
     if (!peers_.receive(beat.value(), now) || !peers_.inOwnGroup(id))
@@ -291,6 +293,7 @@
                                    .sequence = ++beatSequence_,
                                    .ready = ready(),
                                    .leaving = fleet_.announcedLeaving(),
+                                   .cached = prompts_.takeGroupNews(peers_.cachedPerReport()),
                                    .group = std::move(report)});
     for (const auto &to : destinations)
         beats_->send(bytes, to);
--- a/modules/jy_gateway/peers/PeerTable.cpp
+++ b/modules/jy_gateway/peers/PeerTable.cpp
@@ -16,10 +16,21 @@
 // Unlisted instances stay known for this long, so that an outage of the store removes nobody.
 constexpr std::chrono::seconds unlistedRetention{60};
 
-// Traffic for what servers have cached, a tenth of the budget for control traffic, and the bytes of
-// one pair in a beat.
-constexpr double cachedBytesPerSecond = 1400;
-constexpr double cachedPairBytes = 8;
+// Traffic for what servers have cached: a fourteenth of the budget for control traffic in beats,
+// and half as much in reports.
+constexpr double cachedBytesInBeats = 1000;
+constexpr double cachedBytesInReports = 500;
+
+/** @returns pairs of a prefix and a server in each datagram, at least one */
+std::size_t cachedPairs(double bytesPerSecond, std::chrono::milliseconds period,
+                        std::size_t receivers)
+{
+    constexpr double pairBytes = 8;
+    const double bytes = bytesPerSecond * std::chrono::duration<double>(period).count();
+    const double pairs =
+        bytes / (pairBytes * static_cast<double>(std::max<std::size_t>(1, receivers)));
+    return std::max<std::size_t>(1, static_cast<std::size_t>(pairs));
+}
 
 // Members of a group that must have been heard before an instance goes by who was heard.
 bool isMost(std::size_t heard, std::size_t members)
@@ -56,11 +67,12 @@
 
 std::size_t PeerTable::cachedPerBeat() const
 {
-    const auto receivers = std::max<std::size_t>(1, destinations().size());
-    const double seconds = std::chrono::duration<double>(period()).count();
-    const double pairs =
-        cachedBytesPerSecond * seconds / (cachedPairBytes * static_cast<double>(receivers));
-    return std::max<std::size_t>(1, static_cast<std::size_t>(pairs));
+    return cachedPairs(cachedBytesInBeats, period(), destinations().size());
+}
+
+std::size_t PeerTable::cachedPerReport() const
+{
+    return cachedPairs(cachedBytesInReports, beatsPerReport * period(), groups_ - 1);
 }
 
 std::size_t PeerTable::groupSize() const
--- a/modules/jy_gateway/peers/PeerTable.h
+++ b/modules/jy_gateway/peers/PeerTable.h
@@ -106,6 +106,9 @@
      * budget for control traffic at any size of the fleet. */
     std::size_t cachedPerBeat() const;
 
+    /** The same for a report to the other groups. */
+    std::size_t cachedPerReport() const;
+
     /** Groups of the fleet, see PeerGroups; 1 when each instance beats to every other one. */
     std::size_t groupCount() const { return groups_; }
 
--- a/modules/jy_gateway/placement/PromptHolders.cpp
+++ b/modules/jy_gateway/placement/PromptHolders.cpp
@@ -55,9 +55,16 @@
         return;
     entry->told = now;
     addNews({{prompt, server}, tokens});
+    addGroupNews({prompt, server});
 }
 
 void PromptHolders::heard(const CachedPrompt &pair, TimePoint now)
+{
+    heardElsewhere(pair, now);
+    addGroupNews(pair);
+}
+
+void PromptHolders::heardElsewhere(const CachedPrompt &pair, TimePoint now)
 {
     if (auto *entry = entryFor(pair.prompt, pair.server, now)) {
         entry->holder.used = now;
@@ -86,6 +93,21 @@
     news_.erase(std::ranges::min_element(news_, {}, &News::tokens));
 }
 
+void PromptHolders::addGroupNews(const CachedPrompt &pair)
+{
+    groupNews_.push_front(pair);
+    if (groupNews_.size() > maxNews)
+        groupNews_.pop_back();
+}
+
+std::vector<CachedPrompt> PromptHolders::takeGroupNews(std::size_t most)
+{
+    const auto count = static_cast<std::ptrdiff_t>(std::min(most, groupNews_.size()));
+    std::vector<CachedPrompt> pairs(groupNews_.begin(), groupNews_.begin() + count);
+    groupNews_.clear();
+    return pairs;
+}
+
 std::vector<CachedPrompt> PromptHolders::takeNews(std::size_t most)
 {
     std::ranges::stable_sort(news_, std::ranges::greater(), &News::tokens);
--- a/modules/jy_gateway/placement/PromptHolders.h
+++ b/modules/jy_gateway/placement/PromptHolders.h
@@ -4,6 +4,7 @@
 #include "jy_base/time/TimeTypes.h"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -64,15 +65,23 @@
     void answered(std::uint64_t affinity, std::int64_t tokens, const ServerId &server,
                   TimePoint now);
 
-    /** Another instance told a pair. */
+    /** Another instance of the own group told a pair. */
     void heard(const CachedPrompt &pair, TimePoint now);
 
+    /** A report about another group contained a pair. */
+    void heardElsewhere(const CachedPrompt &pair, TimePoint now);
+
     /** Servers that have the prefix, as far as known. */
     std::vector<PromptHolder> find(std::uint64_t affinity, TimePoint now) const;
 
     /** What the others should hear, the longest prefixes first; each pair is handed out once. */
     std::vector<CachedPrompt> takeNews(std::size_t most);
 
+    /** What other groups should hear of the own one, the latest first; each pair is handed out
+     * once.
+     */
+    std::vector<CachedPrompt> takeGroupNews(std::size_t most);
+
     std::size_t size() const { return prompts_.size(); }
 
 private:
@@ -93,9 +102,11 @@
     /** @returns null when there is no room */
     Entry *entryFor(std::uint32_t prompt, const ServerId &server, TimePoint now);
     void addNews(News news);
+    void addGroupNews(const CachedPrompt &pair);
 
     std::unordered_map<std::uint32_t, std::vector<Entry>> prompts_;
     std::vector<News> news_;
+    std::deque<CachedPrompt> groupNews_;
 };
 
 } // namespace jy
--- a/tests/jy_gateway/PeerTableTest.cpp
+++ b/tests/jy_gateway/PeerTableTest.cpp
@@ -188,6 +188,8 @@
 struct BeatBudgetTest : testing::TestWithParam<int>
 { };
 
+const CachedPrompt cachedPair{0x12345678, ServerId("i-7f7a58e40")};
+
 /** Size of a report about a group whose members each have four requests in flight. */
 std::size_t reportBytes(const PeerTable &table)
 {
@@ -198,7 +200,10 @@
     for (int i = 0; i < 12; ++i)
         report.evidence[ServerId("i-7f7a58e4" + std::to_string(i))] = {15, 1};
     report.ready.resize(members, 0x12345678);
-    return encodeBeat({.incarnation = 1'790'000'000'000, .sequence = 1'000, .group = report})
+    return encodeBeat({.incarnation = 1'790'000'000'000,
+                       .sequence = 1'000,
+                       .cached = {table.cachedPerReport(), cachedPair},
+                       .group = report})
         .size();
 }
 
@@ -223,7 +228,7 @@
             sent.use[server] = {1, i == 0 ? 1 : 0};
         sent.evidence[server] = {1.2, 0};
     }
-    sent.cached.resize(table.cachedPerBeat(), {0x12345678, ServerId("i-7f7a58e40")});
+    sent.cached.resize(table.cachedPerBeat(), cachedPair);
     BeatRhythm rhythm;
     std::size_t bytes = 0;
     for (int i = 0; i < beats; ++i) {
--- a/tests/jy_gateway/PromptHoldersTest.cpp
+++ b/tests/jy_gateway/PromptHoldersTest.cpp
@@ -101,6 +101,17 @@
         std::ranges::any_of(holders, [](const auto &h) { return h.server.value() == "49"; }));
 }
 
+TEST(PromptHoldersTest, GroupsTellEachOtherWhatTheirMembersTold)
+{
+    PromptHolders prompts;
+    prompts.answered(prefix, longPrefix, one, start);
+    prompts.heard({8, one}, start);
+    prompts.heardElsewhere({9, one}, start);
+    EXPECT_EQ(prompts.find(std::uint64_t{9} << 32, start).size(), 1U);
+    EXPECT_EQ(prompts.takeGroupNews(10), (std::vector<CachedPrompt>{{8, one}, pairAtOne}));
+    EXPECT_TRUE(prompts.takeGroupNews(10).empty());
+}
+
 TEST(PromptHoldersTest, BeatsCarryPairsOfKnownServers)
 {
     InstanceBeat beat{.brief = true, .instance = {.id = InstanceId("b")}};
