A full server is slow, not silent: waiting requests there blame it no more

A hot workspace fills the four plain servers; requests queue there for longer than the target, each of 68 instances hears a server too rarely to know that it works, flagged it for all, and moved 204 requests, which ran twice. 564 payments were late, 116 refused. Change: requests whose answer has not begun speak against a server only while it has a free slot by the counts of the fleet; a begun answer that pauses still does. Lines server-stalled, server-heard and attempt-moved tell what was decided.

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -101,6 +101,7 @@
     , registration_(store_, instanceKey(self_.id), encodeInstance(self_), {})
     , peers_(self_.id)
     , incarnation_(unixMilliseconds())
+    , stalls_([this](const ServerId &server) { return isFull(server); })
     , cold_(self_.id)
     , chooser_(fleet_, loads_, health_, backoff_, stalls_, cold_)
     , relay_({.client = *serverClient_,
--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -62,6 +62,7 @@
     void answerReadiness(HttpResponder &responder) const;
     void answerControl(const HttpRequest &request, HttpResponder &responder);
     void answerStoreChanges(const HttpRequest &request, HttpResponder &responder);
+    bool isFull(const ServerId &server) const;
     void awaitConfig(std::chrono::milliseconds longest);
     StoreCopy storeCopy(std::vector<StoreItem> items) const;
     std::vector<Endpoint> readers() const;
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <mutex>
+#include <set>
 #include <utility>
 
 namespace jy {
@@ -344,10 +345,30 @@
     }
 }
 
+bool Gateway::isFull(const ServerId &server) const
+{
+    const auto *state = fleet_.findServer(server);
+    return state && loads_.total(server).inFlight > state->listed.slots;
+}
+
 void Gateway::runStallChecks(StopToken &stop)
 {
-    while (stop.sleepFor(stallCheckPeriod))
-        stalls_.check(Clock::now());
+    std::set<ServerId> known;
+    while (stop.sleepFor(stallCheckPeriod)) {
+        const auto now = Clock::now();
+        stalls_.check(now);
+        const auto list = stalls_.ownStalled(now);
+        std::set<ServerId> stalled(list.begin(), list.end());
+        for (const auto &server : stalled) {
+            if (!known.contains(server))
+                logEvent(LogLevel::Info, "server-stalled", {{"server", server}});
+        }
+        for (const auto &server : known) {
+            if (!stalled.contains(server))
+                logEvent(LogLevel::Info, "server-heard", {{"server", server}});
+        }
+        known = std::move(stalled);
+    }
 }
 
 void Gateway::runPeerCopies(StopToken &stop)
--- a/modules/jy_gateway/placement/StallDetector.cpp
+++ b/modules/jy_gateway/placement/StallDetector.cpp
@@ -5,11 +5,16 @@
 
 namespace jy {
 
+StallDetector::StallDetector(IsFull isFull)
+    : isFull_(std::move(isFull))
+{ }
+
 StallDetector::RequestKey StallDetector::begin(const ServerId &server,
                                                std::chrono::milliseconds patience, TimePoint now,
                                                std::function<void()> onStall)
 {
-    servers_[server].requests[nextKey_] = {patience, now, std::move(onStall)};
+    servers_[server].requests[nextKey_] = {
+        .patience = patience, .since = now, .onStall = std::move(onStall)};
     return nextKey_++;
 }
 
@@ -18,7 +23,7 @@
 {
     auto &state = servers_.at(server);
     state.heard = now;
-    state.requests.at(request) = {.patience = patience, .since = now};
+    state.requests.at(request) = {.patience = patience, .since = now, .begun = true};
 }
 
 void StallDetector::end(const ServerId &server, RequestKey request)
@@ -29,11 +34,12 @@
         servers_.erase(found);
 }
 
-bool StallDetector::isStalled(const Server &server, TimePoint now)
+bool StallDetector::isStalled(const ServerId &id, const Server &server, TimePoint now) const
 {
     return std::ranges::any_of(server.requests, [&](const auto &entry) {
         const auto &request = entry.second;
-        return now - std::max(request.since, server.heard) > request.patience;
+        const bool overdue = now - std::max(request.since, server.heard) > request.patience;
+        return overdue && (request.begun || !isFull_(id));
     });
 }
 
@@ -53,14 +59,15 @@
 bool StallDetector::stalled(const ServerId &server, TimePoint now) const
 {
     const auto own = servers_.find(server);
-    return (own != servers_.end() && isStalled(own->second, now)) || peerStalled(server, now);
+    return (own != servers_.end() && isStalled(server, own->second, now))
+        || peerStalled(server, now);
 }
 
 std::vector<ServerId> StallDetector::ownStalled(TimePoint now) const
 {
     std::vector<ServerId> result;
     for (const auto &[server, state] : servers_) {
-        if (isStalled(state, now))
+        if (isStalled(server, state, now))
             result.push_back(server);
     }
     return result;
--- a/modules/jy_gateway/placement/StallDetector.h
+++ b/modules/jy_gateway/placement/StallDetector.h
@@ -18,6 +18,8 @@
  * their time is up, and those that may run only once are lost. Each request in flight states how
  * long its server may send nothing. A server is stalled when one of its requests has waited for
  * longer than that and nothing else has come from the server meanwhile; its next byte ends that.
+ * A server with more requests than slots lets the last ones wait, so only requests whose answer has
+ * begun speak against it.
  * Instances tell each other, because each has only a few requests at a server.
  */
 class StallDetector
@@ -25,10 +27,15 @@
 public:
     using RequestKey = std::uint64_t;
 
+    /** Whether a server has more requests in flight than it processes at once. */
+    using IsFull = std::function<bool(const ServerId &)>;
+
     /** Word of another instance that is not renewed counts for this long; two beats of a large
      * fleet. */
     static constexpr std::chrono::milliseconds peerLifetime{1200};
 
+    explicit StallDetector(IsFull isFull);
+
     /**
      * A request was sent.
      *
@@ -65,6 +72,7 @@
 
         /** Since then the server owes this request something. */
         TimePoint since;
+        bool begun = false;
         std::function<void()> onStall;
     };
 
@@ -76,9 +84,11 @@
         TimePoint heard;
     };
 
-    static bool isStalled(const Server &server, TimePoint now);
+    bool isStalled(const ServerId &id, const Server &server, TimePoint now) const;
     bool peerStalled(const ServerId &server, TimePoint now) const;
 
+    IsFull isFull_;
+
     /** Servers with requests of this instance. */
     std::unordered_map<ServerId, Server> servers_;
 
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -209,6 +209,11 @@
     switch (error.kind) {
     case ErrorKind::Cancelled:
         if (stalled_ && !responder_.callerGone()) {
+            logEvent(LogLevel::Info, "attempt-moved",
+                     {{"request", facts_.id},
+                      {"server", server},
+                      {"patience_ms", patience_},
+                      {"waited_ms", Clock::now() - attemptStart_}});
             // Its other requests may have ended by now, so that nothing else tells of the silence.
             record(server, ServerOutcome::Silent);
             mayHaveRun_ = true;
--- a/tests/jy_gateway/InstanceFixture.h
+++ b/tests/jy_gateway/InstanceFixture.h
@@ -36,7 +36,7 @@
     LoadTable loads;
     ServerHealth health;
     ServerBackoff backoff;
-    StallDetector stalls;
+    StallDetector stalls{[](const ServerId &) { return false; }};
     ColdAllowance cold;
     ServerChooser chooser;
 };
--- a/tests/jy_gateway/RelayFixture.h
+++ b/tests/jy_gateway/RelayFixture.h
@@ -134,7 +134,7 @@
     /** What happens while a request waits for the first configuration. */
     std::function<void(milliseconds longest)> awaitConfig = [](milliseconds) {};
     double retryRate = 10;
-    StallDetector stalls;
+    StallDetector stalls{[](const ServerId &) { return false; }};
     std::shared_ptr<ByteBudget> budget = std::make_shared<ByteBudget>(256 * 1024);
 
     void listBackend(const Endpoint &endpoint) { list(endpoint); }
--- a/tests/jy_gateway/StallDetectorTest.cpp
+++ b/tests/jy_gateway/StallDetectorTest.cpp
@@ -21,6 +21,9 @@
 
     /** Half a second after the begin. */
     bool stalled;
+
+    /** The server has more requests than slots. */
+    bool full = false;
 };
 
 struct StallTest : testing::TestWithParam<StallCase>
@@ -28,7 +31,7 @@
 
 TEST_P(StallTest, ServerIsStalledWhileItOwesSomething)
 {
-    StallDetector stalls;
+    StallDetector stalls([](const ServerId &) { return GetParam().full; });
     GetParam().play(stalls);
     const auto now = began + milliseconds(500);
     EXPECT_EQ(stalls.stalled(one, now), GetParam().stalled);
@@ -55,6 +58,14 @@
          stalls.heard(one, request, patience, began + milliseconds(100));
      },
      true},
+    {"WaitingAtAFullServer", [](StallDetector &stalls) { stalls.begin(one, patience, began); },
+     false, true},
+    {"FullServerSilentAfterItsAnswerBegan",
+     [](StallDetector &stalls) {
+         const auto request = stalls.begin(one, patience, began);
+         stalls.heard(one, request, patience, began + milliseconds(100));
+     },
+     true, true},
     {"ToldByAnotherInstance",
      [](StallDetector &stalls) { stalls.setPeerStalled(peer, {one}, began + milliseconds(400)); },
      true},
@@ -83,7 +94,7 @@
 
 TEST(StallDetectorTest, WaitingRequestsAreToldOnce)
 {
-    StallDetector stalls;
+    StallDetector stalls([](const ServerId &) { return false; });
     int told = 0;
     stalls.begin(one, patience, began, [&] { ++told; });
     const auto answered = stalls.begin(one, patience, began, [&] { told += 100; });
