A planned stop waits for the first request of a connection that was just accepted

Cause: a drain closed every connection without a request, also one that was accepted a moment before and whose request was on its way. Change: such a connection is closed 0.25 s after the begin of the drain instead of at once; a connection that has served before is closed at once as before.

--- a/modules/jy_http/server/HttpConnection.cpp
+++ b/modules/jy_http/server/HttpConnection.cpp
@@ -209,6 +209,7 @@
     error_code error;
     socket_.async_wait(tcp::socket::wait_read, FiberToken{error});
     idle_ = false;
+    awaitsFirstRequest_ = false;
     return !error && socket_.is_open();
 }
 
--- a/modules/jy_http/server/HttpConnection.h
+++ b/modules/jy_http/server/HttpConnection.h
@@ -34,6 +34,9 @@
 
     bool handling() const { return handling_; }
 
+    /** Nothing has arrived yet, so the first request may be on its way. */
+    bool awaitsFirstRequest() const { return awaitsFirstRequest_; }
+
 private:
     class Responder;
 
@@ -63,6 +66,7 @@
     ByteLease bodyRoom_;
     Endpoint source_;
     bool idle_ = false;
+    bool awaitsFirstRequest_ = true;
     bool handling_ = false;
     bool closing_ = false;
     bool keepAlive_ = true;
--- a/modules/jy_http/server/HttpServer.cpp
+++ b/modules/jy_http/server/HttpServer.cpp
@@ -17,6 +17,7 @@
 
 using boost::system::error_code;
 using tcp = boost::asio::ip::tcp;
+using Clock = std::chrono::steady_clock;
 
 namespace {
 
@@ -25,6 +26,10 @@
 
 constexpr std::chrono::milliseconds connectionLimitRetryAfter{1000};
 
+// Time after the begin of a drain for the first request of a connection; a caller sends it as soon
+// as it is connected.
+constexpr std::chrono::milliseconds firstRequestTime{250};
+
 } // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl>
@@ -202,10 +207,17 @@
     if (acceptor_.is_open())
         acceptPending();
     closeAcceptor();
+    const auto deadline = Clock::now() + timeout;
+    const auto ended = [this] { return connections_.empty() && !accepting_; };
+    for (const auto &connection : std::set(connections_)) {
+        if (!connection->awaitsFirstRequest())
+            connection->closeWhenIdle();
+    }
+    std::unique_lock lock(mutex_);
+    changed_.wait_until(lock, std::min(deadline, Clock::now() + firstRequestTime), ended);
     for (const auto &connection : std::set(connections_))
         connection->closeWhenIdle();
-    std::unique_lock lock(mutex_);
-    changed_.wait_for(lock, timeout, [this] { return connections_.empty() && !accepting_; });
+    changed_.wait_until(lock, deadline, ended);
     return active();
 }
 
--- a/tests/jy_http/HttpServerTest.cpp
+++ b/tests/jy_http/HttpServerTest.cpp
@@ -305,6 +305,68 @@
     });
 }
 
+struct StopCase
+{
+    std::string name;
+
+    /** Written before the stop begins, and after it. */
+    std::string before;
+    std::string after;
+};
+
+class PlannedStop : public testing::TestWithParam<StopCase>
+{ };
+
+// Guards against a planned stop that cuts off a request that has just arrived or is arriving. The
+// server does not run between the first bytes and the stop.
+TEST_P(PlannedStop, AnswersWhatHasArrived)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        int handled = 0;
+        auto server = jy::HttpServer::create(loop, {}, [&](const auto &, auto &responder) {
+                          ++handled;
+                          responder.send(200, {}, "done");
+                      }).value();
+        RawConnection connection(loop, server->localEndpoint());
+        connection.write(GetParam().before);
+        std::size_t unfinished = 1;
+        jy::EventLoop::spawn([&] { unfinished = server->drain(2s); });
+        jy::EventLoop::sleepFor(10ms);
+        connection.write(GetParam().after);
+        const auto response = connection.readAll();
+        EXPECT_EQ(response.substr(0, 12), "HTTP/1.1 200") << response;
+        EXPECT_NE(response.find("Connection: close"), std::string::npos);
+        EXPECT_TRUE(response.ends_with("done"));
+        EXPECT_EQ(handled, 1) << "a request after the announced close was read";
+        EXPECT_TRUE(eventually([&] { return unfinished == 0; }));
+    });
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Arrivals, PlannedStop,
+    testing::Values(StopCase{"WholeRequest", "GET / HTTP/1.1\r\n\r\n", ""},
+                    StopCase{"HalfHead", "GET / HTTP/1.1\r\nA: b", "\r\n\r\n"},
+                    StopCase{"HalfBody", "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab", "cd"},
+                    StopCase{"AcceptedOnly", "", "GET / HTTP/1.1\r\n\r\n"},
+                    StopCase{"Pipelined", "GET / HTTP/1.1\r\n\r\nGET /second HTTP/1.1\r\n\r\n",
+                             ""}),
+    [](const auto &info) { return info.param.name; });
+
+// Guards against a planned stop that waits for callers that connect and send nothing.
+TEST(HttpServer, DrainClosesConnectionsWithoutARequest)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        auto server = jy::HttpServer::create(loop, {}, [](const auto &, auto &) {}).value();
+        RawConnection connection(loop, server->localEndpoint());
+        jy::EventLoop::sleepFor(10ms);
+        const auto start = std::chrono::steady_clock::now();
+        EXPECT_EQ(server->drain(5s), 0U);
+        EXPECT_LT(std::chrono::steady_clock::now() - start, 2s);
+    });
+}
+
 // Guards against a stream that ends early and looks complete, and an exception that ends the
 // process.
 TEST(HttpServer, UnfinishedResponsesAreNeverCompleted)
