Tell new pairs of prefix and server before repeated ones

Cause: in a fleet of 68 a beat has room for one pair, and repetitions each 6 s of some 2,500 pairs in use fill that room; new pairs, which others cannot know, waited behind long ones. Change: pairs that nobody has told go first, repetitions after 9 s instead of 6 s; an entry is forgotten after 20 s, so one repetition may be lost.

--- a/modules/jy_gateway/placement/PromptHolders.cpp
+++ b/modules/jy_gateway/placement/PromptHolders.cpp
@@ -53,8 +53,8 @@
     entry->holder.used = now;
     if (entry->told && now - *entry->told <= repeatAfter)
         return;
+    addNews({{prompt, server}, tokens, !entry->told});
     entry->told = now;
-    addNews({{prompt, server}, tokens});
     addGroupNews({prompt, server});
 }
 
@@ -90,7 +90,7 @@
     news_.push_back(std::move(news));
     if (news_.size() <= maxNews)
         return;
-    news_.erase(std::ranges::min_element(news_, {}, &News::tokens));
+    news_.erase(std::ranges::min_element(news_, {}, &News::urgency));
 }
 
 void PromptHolders::addGroupNews(const CachedPrompt &pair)
@@ -110,7 +110,7 @@
 
 std::vector<CachedPrompt> PromptHolders::takeNews(std::size_t most)
 {
-    std::ranges::stable_sort(news_, std::ranges::greater(), &News::tokens);
+    std::ranges::stable_sort(news_, std::ranges::greater(), &News::urgency);
     const auto count = std::min(most, news_.size());
     std::vector<CachedPrompt> pairs;
     pairs.reserve(count);
--- a/modules/jy_gateway/placement/PromptHolders.h
+++ b/modules/jy_gateway/placement/PromptHolders.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace jy {
@@ -36,7 +37,7 @@
  *
  * The rendezvous home of a prefix changes with the list of servers, and prefixes spill from it, so
  * that a hash alone does not tell where a prefix is cached. Each instance tells the others which
- * server has read which prefix, long ones first, and again while the prefix stays in use. A pair
+ * server has read which prefix, and again while the prefix stays in use. A pair
  * that somebody has told lately is not repeated, so the volume follows the number of prefixes in
  * use and not that of requests.
  */
@@ -46,8 +47,8 @@
     /** Time for which an engine usually keeps a prefix that nobody uses. */
     static constexpr std::chrono::seconds lifetime{20};
 
-    /** Time after which a pair that is still in use is told again; two may be lost in a row. */
-    static constexpr std::chrono::seconds repeatAfter{6};
+    /** Time after which a pair that is still in use is told again; one repetition may be lost. */
+    static constexpr std::chrono::seconds repeatAfter{9};
 
     /** Prefixes that are remembered; a fleet uses some thousands at a time. */
     static constexpr std::size_t maxPrompts = 16384;
@@ -74,7 +75,8 @@
     /** Servers that have the prefix, as far as known. */
     std::vector<PromptHolder> find(std::uint64_t affinity, TimePoint now) const;
 
-    /** What the others should hear, the longest prefixes first; each pair is handed out once. */
+    /** What the others should hear, each pair once: first what nobody has told, and the longest
+     * prefixes first. */
     std::vector<CachedPrompt> takeNews(std::size_t most);
 
     /** What other groups should hear of the own one, the latest first; each pair is handed out
@@ -97,6 +99,11 @@
     {
         CachedPrompt pair;
         std::int64_t tokens = 0;
+
+        /** Nobody told this pair before. */
+        bool isNew = false;
+
+        auto urgency() const { return std::pair(isNew, tokens); }
     };
 
     /** @returns null when there is no room */
--- a/tests/jy_gateway/PromptHoldersTest.cpp
+++ b/tests/jy_gateway/PromptHoldersTest.cpp
@@ -82,6 +82,16 @@
     EXPECT_EQ(prompts.takeNews(1000).size(), PromptHolders::maxNews - 2);
 }
 
+TEST(PromptHoldersTest, NewPairsAreToldBeforeRepeatedOnes)
+{
+    PromptHolders prompts;
+    prompts.heard(pairAtOne, start);
+    const auto later = start + PromptHolders::repeatAfter + seconds(1);
+    prompts.answered(prefix, longPrefix, one, later);
+    prompts.answered(std::uint64_t{8} << 32, 1, one, later);
+    EXPECT_EQ(prompts.takeNews(10), (std::vector<CachedPrompt>{{8, one}, pairAtOne}));
+}
+
 TEST(PromptHoldersTest, UnusedPairsAreForgottenAndTheNumberIsBounded)
 {
     PromptHolders prompts;
