--- a/modules/jy_gateway/placement/StallDetector.cpp
+++ b/modules/jy_gateway/placement/StallDetector.cpp
@@ -80,11 +80,15 @@
         instances.erase(instance);
     for (const auto &server : servers)
         told_[server][instance] = now;
-    std::erase_if(told_, [](const auto &entry) { return entry.second.empty(); });
 }
 
 void StallDetector::check(TimePoint now)
 {
+    // Instances that are gone renew nothing and take nothing back.
+    for (auto &[server, instances] : told_)
+        std::erase_if(instances,
+                      [&](const auto &entry) { return now - entry.second > peerLifetime; });
+    std::erase_if(told_, [](const auto &entry) { return entry.second.empty(); });
     for (auto &[server, state] : servers_) {
         if (!stalled(server, now))
             continue;
--- a/modules/jy_gateway/placement/StallDetector.h
+++ b/modules/jy_gateway/placement/StallDetector.h
@@ -62,9 +62,13 @@
     void setPeerStalled(const InstanceId &instance, const std::vector<ServerId> &servers,
                         TimePoint now);
 
-    /** Calls onStall of the requests at stalled servers. */
+    /** Calls onStall of the requests at stalled servers and forgets what instances no longer tell.
+     */
     void check(TimePoint now);
 
+    /** Servers that other instances have told. */
+    std::size_t told() const { return told_.size(); }
+
 private:
     struct Request
     {
--- a/tests/jy_gateway/StallDetectorTest.cpp
+++ b/tests/jy_gateway/StallDetectorTest.cpp
@@ -106,6 +106,17 @@
     EXPECT_EQ(told, 1);
 }
 
+// Instances are replaced for good, and what the last beat of one told stayed for ever.
+TEST(StallDetectorTest, WordOfInstancesThatAreGoneIsForgotten)
+{
+    StallDetector stalls([](const ServerId &) { return false; });
+    stalls.setPeerStalled(peer, {one}, began);
+    stalls.check(began + StallDetector::peerLifetime);
+    EXPECT_EQ(stalls.told(), 1U);
+    stalls.check(began + StallDetector::peerLifetime + milliseconds(1));
+    EXPECT_EQ(stalls.told(), 0U);
+}
+
 TEST(StallDetectorTest, BeatsCarryStalledServers)
 {
     InstanceBeat beat{.brief = true, .instance = {.id = peer}, .stalled = {one, ServerId("x")}};
