Evacuated servers count in the mean load that the spill bound goes by

The bound was relative to the mean of the servers in service, 1.5 times that of all. Change: the mean is taken over all servers of the service, for prompts only, in a function of its own; Usable is no longer needed.

--- a/modules/jy_gateway/placement/ServerChooser.cpp
+++ b/modules/jy_gateway/placement/ServerChooser.cpp
@@ -54,12 +54,11 @@
 Placement ServerChooser::choose(const PlacementQuery &query, double draw, TimePoint now)
 {
     Placement result;
-    auto found = usable(query, now, result);
-    auto &candidates = found.candidates;
+    auto candidates = usable(query, now, result);
     if (candidates.empty())
         return result;
     auto chosen =
-        query.affinity != 0 ? chooseHome(found, query) : chooseLeastLoaded(candidates, draw);
+        query.affinity != 0 ? chooseHome(candidates, query) : chooseLeastLoaded(candidates, draw);
     chosen.candidates = candidates.size();
     if (copyPays(query))
         findCachedCopy(candidates, query, now, chosen);
@@ -69,8 +68,8 @@
     return chosen;
 }
 
-ServerChooser::Usable ServerChooser::usable(const PlacementQuery &query, TimePoint now,
-                                            Placement &why)
+std::vector<ServerChooser::Candidate> ServerChooser::usable(const PlacementQuery &query,
+                                                            TimePoint now, Placement &why)
 {
     const auto listed = fleet_.candidates(query.service, now);
     const auto *policy = fleet_.config() ? fleet_.config()->findService(query.service) : nullptr;
@@ -79,14 +78,12 @@
     std::vector<Candidate> all;
     std::vector<Candidate> lastResort;
     bool backingOff = false;
-    int totalLoad = 0;
     bool coldSpent = false;
     bool full = false;
     for (std::size_t i = 0; i < listed.size(); ++i) {
         const auto *server = listed[i];
         const auto &id = server->listed.id;
         const auto use = query.affinity != 0 ? loads_.total(id) : loads_.own(id);
-        totalLoad += use.inFlight;
         if (query.tried.contains(id))
             continue;
         if (backoff_.until(id, now)) {
@@ -123,8 +120,16 @@
         why.reason = PlacementReason::AllBackingOff;
     else
         why.reason = coldSpent ? PlacementReason::AllCold : PlacementReason::AllTried;
-    const double servers = static_cast<double>(std::max<std::size_t>(1, listed.size()));
-    return {std::move(all), (totalLoad + 1) / servers};
+    return all;
+}
+
+double ServerChooser::meanLoad(const ServiceId &service) const
+{
+    const auto servers = fleet_.allOf(service);
+    int total = 1;
+    for (const auto *server : servers)
+        total += loads_.total(server->listed.id).inFlight;
+    return total / static_cast<double>(std::max<std::size_t>(1, servers.size()));
 }
 
 std::optional<TimePoint> ServerChooser::allBackingOffUntil(const ServiceId &service,
@@ -169,11 +174,11 @@
     std::rotate(candidates.begin(), home, home + 1);
 }
 
-Placement ServerChooser::chooseHome(Usable &usable, const PlacementQuery &query) const
+Placement ServerChooser::chooseHome(std::vector<Candidate> &candidates,
+                                    const PlacementQuery &query) const
 {
-    auto &candidates = usable.candidates;
     rank(candidates, copyPays(query));
-    const double bound = spillBound(usable.meanLoad);
+    const double bound = spillBound(meanLoad(query.service));
     for (const auto &candidate : candidates) {
         if (candidate.load + candidate.penalty + 1 > bound || candidate.waiting >= waitingLimit)
             continue;
--- a/modules/jy_gateway/placement/ServerChooser.h
+++ b/modules/jy_gateway/placement/ServerChooser.h
@@ -129,20 +129,16 @@
         bool holds = false;
     };
 
-    /** Servers that may get a request now. */
-    struct Usable
-    {
-        std::vector<Candidate> candidates;
-
-        /** Over all servers of the service. Cold ones count: the load bound is relative to all. */
-        double meanLoad = 0;
-    };
+    /** Over all servers of the service, with this request. Cold and evacuated ones count: the load
+     * bound is relative to all. */
+    double meanLoad(const ServiceId &service) const;
 
-    Usable usable(const PlacementQuery &query, TimePoint now, Placement &why);
+    /** Servers that may get a request now. @param why gets the reason when there are none */
+    std::vector<Candidate> usable(const PlacementQuery &query, TimePoint now, Placement &why);
     /** In the order of @p servers. */
     std::vector<double> failureRates(const std::vector<const ServerState *> &servers,
                                      TimePoint now) const;
-    Placement chooseHome(Usable &usable, const PlacementQuery &query) const;
+    Placement chooseHome(std::vector<Candidate> &candidates, const PlacementQuery &query) const;
     /** Sets Placement::cachedAt; adds servers that leave to @p candidates. */
     void findCachedCopy(std::vector<Candidate> &candidates, const PlacementQuery &query,
                         TimePoint now, Placement &placement) const;
--- a/modules/jy_gateway/registry/FleetView.cpp
+++ b/modules/jy_gateway/registry/FleetView.cpp
@@ -74,6 +74,16 @@
     return result;
 }
 
+std::vector<const ServerState *> FleetView::allOf(const ServiceId &service) const
+{
+    std::vector<const ServerState *> result;
+    for (const auto &[id, state] : servers_) {
+        if (state.listed.service == service)
+            result.push_back(&state);
+    }
+    return result;
+}
+
 std::vector<const ServerState *> FleetView::leaving(const ServiceId &service) const
 {
     std::vector<const ServerState *> result;
--- a/modules/jy_gateway/registry/FleetView.h
+++ b/modules/jy_gateway/registry/FleetView.h
@@ -90,6 +90,9 @@
     /** Servers of a service that may get new requests. */
     std::vector<const ServerState *> candidates(const ServiceId &service, TimePoint now) const;
 
+    /** Servers of a service, whether they may get requests or not. */
+    std::vector<const ServerState *> allOf(const ServiceId &service) const;
+
     /** Servers of a service that leave, are still there and belong to no evacuated domain. */
     std::vector<const ServerState *> leaving(const ServiceId &service) const;
 
--- a/tests/jy_gateway/ServerChooserTest.cpp
+++ b/tests/jy_gateway/ServerChooserTest.cpp
@@ -93,6 +93,29 @@
     EXPECT_TRUE(use.contains(chosen.server));
 }
 
+// Load played: a third of the servers is evacuated during a burst (kwh-hammock, mix, seed
+// 761055322353). The others went above twice the mean of all while they stayed below the bound
+// relative to their own mean.
+TEST(ServerChooserTest, EvacuatedServersCountInTheMeanLoad)
+{
+    Instance instance;
+    UseByServer use;
+    for (int i = 0; i < 9; ++i) {
+        const auto id = "s" + std::to_string(i);
+        const bool evacuated = i >= 6;
+        instance.fleet.apply(ServerWritten{server(id, engines, evacuated ? "gone" : "a")}, start);
+        if (!evacuated)
+            use[ServerId(id)] = {9, 0};
+    }
+    instance.fleet.apply(EvacuationWritten{DomainId("gone")}, start);
+    const auto home = instance.choose(engines, 7).server;
+    ASSERT_TRUE(use.contains(home));
+    // 16 is 1.6 times the mean of those in service and 2.3 times the mean of all.
+    use[home] = {16, 0};
+    instance.loads.setPeerUse(InstanceId("other"), use, start);
+    EXPECT_NE(instance.choose(engines, 7).server, home);
+}
+
 // Load played: a busy prefix that has spilled before. It went to the next server by the hash, which
 // read or copied it once more.
 TEST(ServerChooserTest, BusyPrefixSpillsToAServerThatHasIt)
