--- a/modules/jy_gateway/relay/AnswerRules.cpp
+++ b/modules/jy_gateway/relay/AnswerRules.cpp
@@ -28,4 +28,16 @@
     return status >= 500 ? AnswerVerdict::Failed : AnswerVerdict::Deliver;
 }
 
+std::chrono::milliseconds retryAfter(PlacementReason reason)
+{
+    switch (reason) {
+    case PlacementReason::AllFull:
+        return std::chrono::milliseconds(300);
+    case PlacementReason::AllCold:
+        return std::chrono::milliseconds(400);
+    default:
+        return std::chrono::milliseconds(1000);
+    }
+}
+
 } // namespace jy
--- a/modules/jy_gateway/relay/AnswerRules.h
+++ b/modules/jy_gateway/relay/AnswerRules.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "jy_gateway/adapter/CallerProtocol.h"
+#include "jy_gateway/placement/ServerChooser.h"
+
+#include <chrono>
 
 namespace jy {
 
@@ -20,4 +23,7 @@
  */
 AnswerVerdict judgeAnswer(int status, const AnswerFacts &facts);
 
+/** Time after which a refused caller finds a place, by what was missing. */
+std::chrono::milliseconds retryAfter(PlacementReason reason);
+
 } // namespace jy
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -1,6 +1,5 @@
 #include "jy_gateway/relay/RelayExchange.h"
 
-#include "jy_base/errors/ErrorTable.h"
 #include "jy_gateway/placement/PromptAffinity.h"
 #include "jy_gateway/relay/AnswerRules.h"
 #include "jy_runtime/logging/Log.h"
@@ -23,8 +22,6 @@
 constexpr int attemptTargets = 2;
 constexpr milliseconds shortestAttempt{250};
 
-constexpr int unavailableStatus = 503;
-
 // Servers that one request may fail to connect to.
 constexpr int maxConnects = 4;
 
@@ -45,19 +42,6 @@
         || kind == ErrorKind::Overloaded;
 }
 
-// Time after which a refused caller finds a place, by what was missing.
-milliseconds retryAfter(PlacementReason reason)
-{
-    switch (reason) {
-    case PlacementReason::AllFull:
-        return milliseconds(300);
-    case PlacementReason::AllCold:
-        return milliseconds(400);
-    default:
-        return milliseconds(1000);
-    }
-}
-
 } // namespace
 
 RelayExchange::RelayExchange(RequestRelay &relay, const HttpRequest &request,
@@ -436,56 +420,6 @@
     return false;
 }
 
-void RelayExchange::refuse(PlacementReason reason)
-{
-    if (outcome_.attempts > 0) {
-        giveUp();
-        return;
-    }
-    const auto kind = reason == PlacementReason::AllCold ? ErrorKind::Cold : ErrorKind::NoCapacity;
-    answerError({kind, std::string(toString(reason)), retryAfter(reason)});
-}
-
-void RelayExchange::giveUp()
-{
-    if (!serverFailure_ || responder_.started()) {
-        answerError(lastError_);
-        return;
-    }
-    outcome_.status = serverFailure_->status;
-    outcome_.reason = "server-failure";
-    responder_.send(*serverFailure_);
-}
-
-void RelayExchange::answerError(const Error &error)
-{
-    if (outcome_.reason.empty())
-        outcome_.reason = error.message;
-    // The caller sees a stream that breaks off; nothing else may follow its head.
-    if (responder_.started())
-        return;
-    auto answered = error;
-    if (mayHaveRun_) {
-        if (answerFor(error.kind).effect == Effect::NotRun)
-            answered.kind = ErrorKind::BackendBroken;
-        answered.retryAfter = {};
-    } else {
-        // Nothing was sent, or the servers stated that nothing ran: callers may return.
-        if (answerFor(error.kind).httpStatus != unavailableStatus)
-            answered.kind = ErrorKind::NoCapacity;
-        if (answered.retryAfter.count() == 0)
-            answered.retryAfter = retryAfter(PlacementReason::NoServer);
-        const auto now = Clock::now();
-        if (const auto until = relay_.dependencies_.chooser.allBackingOffUntil(query_.service, now))
-            answered.retryAfter = std::chrono::ceil<milliseconds>(*until - now);
-    }
-    auto response = errorResponse(answered, facts_.id.value());
-    if (answered.retryAfter.count() > 0)
-        relay_.dependencies_.protocol.setRetryAfter(response.headers, answered.retryAfter);
-    outcome_.status = response.status;
-    responder_.send(response);
-}
-
 void RelayExchange::noteWait()
 {
     relay_.waits_.add(route_.name, std::chrono::ceil<milliseconds>(Clock::now() - attemptStart_));
