Split the sending of an attempt; comments that were out of date

Cause: read-through of the change. attempt() set up the watch, the call and the send in one function of 55 lines; a comment said that known holders go before all others, which the home by the hash has not allowed since; an unused include and an unused counter of a test. Change: beginWatch() and callOptions() of their own; comments and leftovers mended. No behaviour.

--- a/modules/jy_gateway/placement/ServerChooser.cpp
+++ b/modules/jy_gateway/placement/ServerChooser.cpp
@@ -3,7 +3,6 @@
 #include "jy_base/hashing/StableHash.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace jy {
 
--- a/modules/jy_gateway/placement/ServerChooser.h
+++ b/modules/jy_gateway/placement/ServerChooser.h
@@ -26,7 +26,8 @@
     /** Tokens of the shared parts, which a server that has not cached them must read. */
     std::int64_t sharedTokens = 0;
 
-    /** Servers that are known to have that part cached; they go before the others. */
+    /** Servers that are known to have that part cached; they go before the others, but not
+     * before the home by the hash if that can copy the part. */
     std::vector<PromptHolder> holders;
 
     /** Servers that this request was already sent to. */
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -124,6 +124,22 @@
     const auto cancellation = Cancellation::create();
     const auto registration =
         responder_.cancellation()->onCancel([cancellation] { cancellation->cancel(); });
+    beginWatch(listed.id, cancellation);
+    const auto watched = absl::MakeCleanup([&] { dependencies.stalls.end(listed.id, watch_); });
+    dependencies.loads.start(listed.id);
+    answerBegan_ = false;
+    const auto counted =
+        absl::MakeCleanup([&] { dependencies.loads.finish(listed.id, answerBegan_); });
+    auto opened = dependencies.client.open(listed.endpoint, outgoingRequest, attemptTimeout(),
+                                           callOptions(listed.id, cancellation));
+    if (opened || !isUnsent(opened.error().kind))
+        ++sentTo_;
+    return opened ? relayAnswer(*opened.value(), listed) : fail(opened.error(), listed.id);
+}
+
+void RelayExchange::beginWatch(const ServerId &server,
+                               const std::shared_ptr<Cancellation> &cancellation)
+{
     stalled_ = false;
     std::function<void()> onStall;
     if (route_.repeatable() && sentTo_ + 1 < route_.maxAttempts) {
@@ -134,8 +150,13 @@
     }
     attemptStart_ = Clock::now();
     patience_ = relay_.waits_.patience(route_.name, route_.latencyTarget);
-    watch_ = dependencies.stalls.begin(listed.id, patience_, attemptStart_, std::move(onStall));
-    const auto watched = absl::MakeCleanup([&] { dependencies.stalls.end(listed.id, watch_); });
+    watch_ =
+        relay_.dependencies_.stalls.begin(server, patience_, attemptStart_, std::move(onStall));
+}
+
+HttpCallOptions RelayExchange::callOptions(const ServerId &server,
+                                           const std::shared_ptr<Cancellation> &cancellation) const
+{
     HttpCallOptions options;
     options.cancellation = cancellation;
     options.keepHost = true;
@@ -143,16 +164,8 @@
         const auto answer = relay_.dependencies_.protocol.describeAnswer(status, headers);
         return answer.requestId.empty() || answer.requestId == facts_.id.value();
     };
-    options.beforeSend = [this, &listed] { return mayStillSend(listed.id); };
-    dependencies.loads.start(listed.id);
-    answerBegan_ = false;
-    const auto counted =
-        absl::MakeCleanup([&] { dependencies.loads.finish(listed.id, answerBegan_); });
-    auto opened =
-        dependencies.client.open(listed.endpoint, outgoingRequest, attemptTimeout(), options);
-    if (opened || !isUnsent(opened.error().kind))
-        ++sentTo_;
-    return opened ? relayAnswer(*opened.value(), listed) : fail(opened.error(), listed.id);
+    options.beforeSend = [this, server] { return mayStillSend(server); };
+    return options;
 }
 
 HttpRequest RelayExchange::outgoing(const ServerState &server, const ServerId &cachedAt) const
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -28,6 +28,14 @@
     };
 
     Step attempt(const Placement &placement);
+
+    /** Lets the stall detector watch the current attempt.
+     *
+     * @param cancellation ends the attempt when its server stalls before a repeatable answer begins
+     */
+    void beginWatch(const ServerId &server, const std::shared_ptr<Cancellation> &cancellation);
+    HttpCallOptions callOptions(const ServerId &server,
+                                const std::shared_ptr<Cancellation> &cancellation) const;
     Step relayAnswer(HttpStream &stream, const ListedServer &server);
 
     /** Takes what the head of an answer says about its server. */
--- a/tests/jy_gateway/PromptHoldersTest.cpp
+++ b/tests/jy_gateway/PromptHoldersTest.cpp
@@ -167,9 +167,8 @@
                                            0, now_);
         auto &holders = holders_[affinity];
         const bool found = holders.contains(placement.server);
-        const bool copied = !found && holders.contains(placement.cachedAt);
+        const bool copied = holders.contains(placement.cachedAt);
         readAgain_ += !holders.empty() && !found && !copied ? 1 : 0;
-        copied_ += copied ? 1 : 0;
         holders.insert(placement.server);
         member.prompts.answered(affinity, longPrefix, placement.server, now_);
         for (auto &other : instances_)
@@ -198,7 +197,6 @@
     }
 
     int readAgain() const { return readAgain_; }
-    int copied() const { return copied_; }
 
 private:
     struct Member
@@ -224,7 +222,6 @@
     std::size_t servers_ = 0;
     int oldest_ = 0;
     int readAgain_ = 0;
-    int copied_ = 0;
     TimePoint now_ = start;
 };
 
