Hold the deployment's duties and report usage

Cause: on a platform with singleton duties nothing reported usage and nothing ordered servers.

Change: DutyLease holds the duties under a key of the store with a lease; the fencing token is the revision of that key. A holder sends only while its lease is valid by CLOCK_BOOTTIME, checked again before the first byte; a new one waits for the lease time. Instances count the requests that servers began to run, by workspace and window of true time (median of the fleet's clocks), and send the counts to three collectors over UDP. A report is stored under a condition before it is sent, so a window never has two. Sums are kept in the store each second in case that all collectors end. Servers are ordered at the minimum of their service. OrderLease of jy_core is used, with a delay after a takeover.

Ruled out: counts in heartbeats to all instances (25 KB/s each at 73 instances and 24 workspaces, over the 14 KB/s of control traffic; by calculation).

Tests: all schedules of two holders with up to three faults (lost and late answers, freezes, restarts, leases that end early, hand-overs), which find two mutants; properties for reports and counts; three processes with a stand-in of the platform's calls, one killed, one stopped.

--- a/modules/jy_base/jy_base.h
+++ b/modules/jy_base/jy_base.h
@@ -10,5 +10,6 @@
 #include "jy_base/hashing/StableHash.h"
 #include "jy_base/ids/Ids.h"
 #include "jy_base/net/Endpoint.h"
+#include "jy_base/time/BootClock.h"
 #include "jy_base/time/HybridClock.h"
 #include "jy_base/time/TimeTypes.h"
--- a/modules/jy_core/orders/OrderLease.cpp
+++ b/modules/jy_core/orders/OrderLease.cpp
@@ -1,5 +1,7 @@
 #include "jy_core/orders/OrderLease.h"
 
+#include <algorithm>
+
 namespace jy {
 
 OrderLease::OrderLease(OrderLeaseSettings settings)
@@ -12,7 +14,8 @@
     if (newTerm) {
         // The KV service grants the lease only after the previous one has expired or was released.
         // The previous holder may have started an order until the guard interval before that.
-        unfencedOrdersFrom_ = requestSent + settings_.longestOrder;
+        unfencedOrdersFrom_ =
+            requestSent + std::max(settings_.longestOrder, settings_.takeoverDelay);
         fencingToken_ = fencingToken;
     }
     validUntil_ = requestSent + settings_.timeToLive;
--- a/modules/jy_core/orders/OrderLease.h
+++ b/modules/jy_core/orders/OrderLease.h
@@ -18,6 +18,13 @@
 
     /** Longest time an order may be in flight, from sending to taking effect. */
     std::chrono::milliseconds longestOrder{5000};
+
+    /**
+     * Time from the acquisition until the first order to a receiver that ignores fencing tokens, if
+     * longer than longestOrder. At least timeToLive makes orders of two holders safe even if the
+     * previous lease ended early.
+     */
+    std::chrono::milliseconds takeoverDelay{0};
 };
 
 /**
--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -90,13 +90,15 @@
     , self_(describeSelf(settings_))
     , bodyBudget_(std::make_shared<ByteBudget>(bodyBudgetBytes(settings_.limits)))
     , storeClient_(HttpClient::create(loop, {.connectTimeout = milliseconds(400)}))
+    , dutyClient_(HttpClient::create(loop, {.connectTimeout = milliseconds(400)}))
     , serverClient_(HttpClient::create(
           loop,
           {.connectTimeout = RelaySettings{}.connectTimeout, .idleTimeout = serverIdleTimeout}))
     , store_(adapter_.openStore(*storeClient_, settings_.store))
     , storeReader_(store_, *storeClient_, [this] { return storeReaderEndpoints(); }, {})
     , readStore_(storeReader_.store())
-    , mirror_([this](const StoreItem &item) { merge(item); })
+    , mirror_([this](const StoreItem &item) { merge(item); },
+              [](std::string_view key) { return !key.starts_with(dutyStateKeys); })
     , sync_(readStore_, mirror_, {},
             {.lost = [this](const Error &error) { storeLost(error); },
              .returned = [this] { storeReturned(); },
@@ -107,6 +109,16 @@
     , stalls_([this](const ServerId &server) { return isFull(server); })
     , cold_(self_.id)
     , chooser_(fleet_, loads_, health_, backoff_, stalls_, cold_)
+    , duties_({.store = store_,
+               .api = adapter_.openDutyApi(*dutyClient_, settings_.duties.address,
+                                           dutySettings().lease.callTimeout()),
+               .metrics = metrics_,
+               .liveInstances = [this] { return liveInstances(); },
+               .trueTime = [this] { return trueTime(); },
+               .sendUsage = [this](const UsageMessage &usage,
+                                   const RegisteredInstance &to) { sendUsage(usage, to); },
+               .scalableServices = [this] { return scalableServices(); }},
+              self_, incarnation_, dutySettings())
     , relay_({.client = *serverClient_,
               .fleet = fleet_,
               .loads = loads_,
@@ -121,7 +133,9 @@
               .awaitConfig = [this](milliseconds longest) { awaitConfig(longest); },
               .readyAfter =
                   [this] { return sync_.lost() ? storeOutageRetryAfter : startupRetryAfter; },
-              .minimumRetryRate = [this] { return minimumRetryRate(); }},
+              .minimumRetryRate = [this] { return minimumRetryRate(); },
+              .attemptBegan = [this](const WorkspaceId &workspace,
+                                     TimePoint began) { duties_.attemptBegan(workspace, began); }},
              {}, randomSeed())
 { }
 
@@ -197,6 +211,7 @@
     supervisor_->addChild("housekeeping", [this](StopToken &stop) { runHousekeeping(stop); });
     supervisor_->addChild("stall-checks", [this](StopToken &stop) { runStallChecks(stop); });
     supervisor_->addChild("peer-copies", [this](StopToken &stop) { runPeerCopies(stop); });
+    startDuties();
 }
 
 void Gateway::handleDirectory(const HttpRequest &request, HttpResponder &responder)
@@ -291,6 +306,7 @@
     sendHeartbeat(HeartbeatScope::AllInstances);
     callerServer_->announceClose();
     EventLoop::spawn([this] { registration_.withdraw(); });
+    EventLoop::spawn([this] { duties_.release(); });
     EventLoop::sleepFor(drainDelay);
     const auto left = std::chrono::duration_cast<milliseconds>(end - Clock::now());
     const auto interrupted = callerServer_->drain(std::max(milliseconds(1), left));
--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "jy_gateway/adapter/CallerProtocol.h"
+#include "jy_gateway/adapter/DutyApi.h"
 #include "jy_gateway/adapter/SharedStore.h"
+#include "jy_gateway/duties/DutyRunner.h"
+#include "jy_gateway/peers/FleetClock.h"
 #include "jy_gateway/peers/HeartbeatSchedule.h"
 #include "jy_gateway/peers/HeartbeatSocket.h"
 #include "jy_gateway/peers/PeerTable.h"
@@ -32,6 +35,12 @@
     std::function<std::optional<FleetChange>(const StoreItem &)> decode;
 
     std::function<StoreWrite(const RolloutReport &)> encodeRolloutReport;
+
+    /** @returns nothing for a duty that the gateway does not know */
+    std::function<std::optional<Duty>(std::string_view name)> dutyFromName;
+
+    std::function<DutyApi(HttpClient &, const Endpoint &, std::chrono::milliseconds callTimeout)>
+        openDutyApi;
 };
 
 /**
@@ -70,6 +79,15 @@
     StoreCopy makeStoreCopy(std::vector<StoreItem> items) const;
     std::vector<Endpoint> storeReaderEndpoints() const;
 
+    /** Instances that are alive, including this one. */
+    std::vector<RegisteredInstance> liveInstances() const;
+
+    DutySettings dutySettings() const;
+    void startDuties();
+    WallTime trueTime() const;
+    std::vector<ScalableService> scalableServices() const;
+    void sendUsage(const UsageMessage &usage, const RegisteredInstance &receiver);
+
     void merge(const StoreItem &item);
     void stateChanged();
     void storeLost(const Error &error);
@@ -104,6 +122,7 @@
     std::shared_ptr<ByteBudget> bodyBudget_;
 
     std::unique_ptr<HttpClient> storeClient_;
+    std::unique_ptr<HttpClient> dutyClient_;
     std::unique_ptr<HttpClient> serverClient_;
     SharedStore store_;
     PeerStoreReader storeReader_;
@@ -114,11 +133,12 @@
     Registration registration_;
 
     PeerTable peers_;
+    FleetClock fleetClock_;
     std::unique_ptr<HeartbeatSocket> heartbeats_;
     std::uint64_t incarnation_;
 
     /** Number of live instances including this one, as of the last housekeeping. */
-    std::size_t liveInstances_ = 1;
+    std::size_t liveCount_ = 1;
     std::uint64_t heartbeatSequence_ = 0;
     HeartbeatSchedule schedule_;
     int heartbeatsSinceReport_ = 0;
@@ -134,6 +154,7 @@
     ColdAllowance cold_;
     ServerChooser chooser_;
     PromptCacheIndex prompts_;
+    DutyRunner duties_;
     RequestRelay relay_;
 
     std::unique_ptr<HttpServer> callerServer_;
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -1,6 +1,7 @@
 // The parts of Gateway that handle the store and the peers. Construction, listening and shutdown
 // are in Gateway.cpp.
 
+#include "jy_base/time/BootClock.h"
 #include "jy_gateway/assembly/Gateway.h"
 #include "jy_gateway/peers/HeartbeatCodec.h"
 #include "jy_gateway/peers/PeerGroups.h"
@@ -116,6 +117,10 @@
 
 void Gateway::merge(const StoreItem &item)
 {
+    if (item.key == dutyHolderKey) {
+        duties_.holderChanged(item);
+        return;
+    }
     auto change = decodeInstance(item);
     if (!change)
         change = adapter_.decode(item);
@@ -143,12 +148,17 @@
     mirrorChanged_.notify_all();
 }
 
-std::vector<Endpoint> Gateway::storeReaderEndpoints() const
+std::vector<RegisteredInstance> Gateway::liveInstances() const
 {
     auto live = peers_.alive(Clock::now());
     live.push_back(self_);
+    return live;
+}
+
+std::vector<Endpoint> Gateway::storeReaderEndpoints() const
+{
     std::vector<Endpoint> endpoints;
-    for (const auto &reader : storeReadersFor(self_.id, live))
+    for (const auto &reader : storeReadersFor(self_.id, liveInstances()))
         endpoints.push_back(reader.control);
     return endpoints;
 }
@@ -234,6 +244,12 @@
     }
     const auto now = Clock::now();
     const auto &id = heartbeat.value().instance.id;
+    if (heartbeat.value().usage) {
+        duties_.receive(*heartbeat.value().usage);
+        return;
+    }
+    if (heartbeat.value().wallTime && id != self_.id)
+        fleetClock_.addSample(id, *heartbeat.value().wallTime, bootTime());
     for (const auto &[server, startTimeMs] : heartbeat.value().leaving) {
         if (fleet_.markServerLeaving(server, startTimeMs))
             logEvent(LogLevel::Info, "server-leaving", {{"server", server}, {"reported_by", id}});
@@ -275,7 +291,8 @@
                               .outcomes = std::move(outcomes),
                               .leaving = fleet_.announcedLeaving(),
                               .cached = prompts_.takeUpdates(peers_.cachedPromptsPerHeartbeat()),
-                              .stalled = stalls_.ownStalled(Clock::now())};
+                              .stalled = stalls_.ownStalled(Clock::now()),
+                              .wallTime = std::chrono::system_clock::now()};
     const auto bytes = encodeHeartbeat(heartbeat);
     const bool everywhere = scope == HeartbeatScope::AllInstances;
     for (const auto &to : everywhere ? peers_.allDestinations() : peers_.destinations())
@@ -339,10 +356,11 @@
         loads_.expire(now);
         health_.expire(now);
         backoff_.expire(now);
+        fleetClock_.expire(bootTime());
         std::set<InstanceId> live{self_.id};
         for (const auto &peer : peers_.alive(now))
             live.insert(peer.id);
-        liveInstances_ = live.size();
+        liveCount_ = live.size();
         cold_.setInstances(std::move(live));
         chooser_.setReportAge(peers_.reportAge());
         std::set<ServerId> known;
@@ -411,7 +429,7 @@
 
 double Gateway::minimumRetryRate() const
 {
-    const auto instances = static_cast<double>(liveInstances_);
+    const auto instances = static_cast<double>(liveCount_);
     // Half, because the instances' counts of live instances may differ for a short time.
     return settings_.bounds.retrySlack / retryWindowSeconds / instances / 2;
 }
--- /dev/null
+++ b/modules/jy_gateway/duties/DutyLease.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "jy_base/time/TimeTypes.h"
+#include "jy_core/orders/OrderLease.h"
+#include "jy_gateway/adapter/DutyApi.h"
+#include "jy_gateway/adapter/SharedStore.h"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace jy {
+
+/** Key of the holder of the duties in the shared store. Its lease is that of the holder. */
+inline constexpr std::string_view dutyHolderKey = "duties/holder";
+
+/** Content of the holder's key. The revision of the key is the fencing token. */
+struct DutyHolder
+{
+    InstanceId instance;
+
+    /** Start time of the process in Unix milliseconds. */
+    std::uint64_t incarnation = 0;
+
+    /** Number of the attempt to acquire the duties, to recognise the result of a lost response. */
+    std::uint64_t attempt = 0;
+
+    bool operator==(const DutyHolder &) const = default;
+};
+
+std::string encodeHolder(const DutyHolder &holder);
+std::optional<DutyHolder> decodeHolder(std::string_view text);
+
+struct DutyLeaseSettings
+{
+    /** Lifetime of the lease in the store, and minimum time between acts of two holders. */
+    std::chrono::milliseconds lifetime{3000};
+
+    /** Whether the platform rejects calls with an outdated fencing token. */
+    bool fencingRequired = false;
+
+    /** Time before the end of the lease from which nothing is sent. */
+    std::chrono::milliseconds guard() const { return lifetime / 10; }
+
+    /** Timeout of a call to the platform. Leaves two thirds of the lifetime for renewals. */
+    std::chrono::milliseconds callTimeout() const
+    {
+        return std::min(std::chrono::milliseconds(1000), lifetime / 3);
+    }
+};
+
+/**
+ * Acquires and keeps the right to perform the duties of the deployment.
+ *
+ * The holder is the instance whose entry is at dutyHolderKey, written on the condition that there
+ * was none and bound to a lease. The fencing token is the revision of that write, so it increases
+ * with each holder. A holder sends only while the lease is valid by its own monotonic clock,
+ * counted from before the latest renewal was sent, and a new holder waits for longer than that
+ * before its first call.
+ *
+ * All calls suspend the calling fiber. At most one fiber may use acquire(), renew() and release().
+ */
+class DutyLease
+{
+public:
+    using ClockHook = std::function<TimePoint()>;
+
+    /** @p store must outlive this object. @param clock bootTime() in production */
+    DutyLease(const SharedStore &store, DutyHolder self, DutyLeaseSettings settings,
+              ClockHook clock);
+
+    /**
+     * Tries to become the holder. Call it when the store is believed to have no holder.
+     *
+     * @returns KvConflict if another instance is the holder, or the error of the store; after
+     * KvOutcomeUnknown the next call finds out what became of the write
+     */
+    Result<void> acquire();
+
+    /** Renews the lease if that is due. The right is lost if the store no longer knows the lease.
+     */
+    Result<void> renew();
+
+    /** Gives the right up, so that another instance can take over at once. After an error the
+     * lease ends by itself. */
+    Result<void> release();
+
+    /** Gives the right up because another holder was seen in the store. */
+    void lose();
+
+    /** Whether this instance has acquired the duties and not lost them since. The lease may have
+     * expired meanwhile, which only a renewal shows. */
+    bool acquired() const { return acquired_; }
+
+    bool held() const { return acquired_ && order_.held(clock_()); }
+
+    /** The fencing token; 0 before the first acquisition. */
+    std::uint64_t token() const { return token_; }
+
+    /** @returns nothing if no call may be sent now: the lease may end before the call does, or a
+     * call of the previous holder may still be on its way */
+    std::optional<DutyCredential> credentialForCall() const;
+
+    /** Condition under which only the current holder can write to the store. */
+    StoreCondition condition() const { return {std::string(dutyHolderKey), token_}; }
+
+private:
+    void granted(std::uint64_t revision, TimePoint requestSent);
+
+    /** Determines whether a write without a response has taken effect. */
+    Result<void> resolve();
+
+    const SharedStore &store_;
+    DutyHolder self_;
+    DutyLeaseSettings settings_;
+    ClockHook clock_;
+    OrderLease order_;
+    bool acquired_ = false;
+    std::uint64_t token_ = 0;
+    std::uint64_t lease_ = 0;
+
+    /** Set while the outcome of a write is unknown: the time before its lease was granted. */
+    std::optional<TimePoint> unresolvedSince_;
+};
+
+} // namespace jy
--- a/modules/jy_gateway/model/RoutingConfig.h
+++ b/modules/jy_gateway/model/RoutingConfig.h
@@ -73,6 +73,16 @@
     }
 };
 
+/** How many backend servers of a service may be ordered in each failure domain. */
+struct ScalingPolicy
+{
+    int minimum = 0;
+    int maximum = 0;
+
+    /** Time from an order until the new servers are in service. */
+    std::chrono::milliseconds bootTime{0};
+};
+
 /** Limits of the backend servers of one service. */
 struct ServicePolicy
 {
@@ -94,6 +104,9 @@
      * copy from each other's prompt caches. */
     std::int64_t cacheTokenBytes = 0;
     double cacheLinkMbps = 0;
+
+    /** Set if the number of servers follows orders of this system. */
+    std::optional<ScalingPolicy> scaling;
 };
 
 /** Limits on the size and duration of caller requests. */
@@ -140,6 +153,8 @@
     /** @returns null for an unknown service. */
     const ServicePolicy *findService(const ServiceId &service) const;
 
+    const std::map<ServiceId, ServicePolicy> &services() const { return services_; }
+
     /** @returns null for an unknown key. */
     const WorkspaceAccess *findKey(std::string_view key) const;
 
--- a/modules/jy_gateway/peers/HeartbeatCodec.cpp
+++ b/modules/jy_gateway/peers/HeartbeatCodec.cpp
@@ -241,6 +241,45 @@
     return report;
 }
 
+std::int64_t toUnixMs(WallTime time)
+{
+    return std::chrono::floor<std::chrono::milliseconds>(time.time_since_epoch()).count();
+}
+
+WallTime fromUnixMs(std::int64_t time)
+{
+    return WallTime(std::chrono::milliseconds(time));
+}
+
+void addUsage(const UsageMessage &usage, wire::Beat &message)
+{
+    auto *encoded = message.mutable_usage();
+    if (usage.countedUntil)
+        encoded->set_counted_until_ms(toUnixMs(*usage.countedUntil));
+    for (const auto &[number, counts] : usage.windows) {
+        auto *window = encoded->add_windows();
+        window->set_number(number);
+        for (const auto &[workspace, count] : counts) {
+            window->add_workspaces(workspace.value());
+            window->add_counts(count);
+        }
+    }
+}
+
+UsageMessage readUsage(const wire::Beat &message, const InstanceId &instance)
+{
+    UsageMessage usage{.instance = instance, .incarnation = message.incarnation()};
+    if (message.usage().counted_until_ms() != 0)
+        usage.countedUntil = fromUnixMs(message.usage().counted_until_ms());
+    for (const auto &window : message.usage().windows()) {
+        auto &counts = usage.windows[window.number()];
+        const auto size = std::min(window.workspaces_size(), window.counts_size());
+        for (int i = 0; i < size; ++i)
+            counts[WorkspaceId(window.workspaces(i))] = window.counts(i);
+    }
+    return usage;
+}
+
 } // namespace
 
 std::string encodeHeartbeat(const Heartbeat &heartbeat)
@@ -252,6 +291,12 @@
     message.set_sequence(heartbeat.sequence);
     message.set_ready(heartbeat.ready);
     message.set_brief(heartbeat.brief);
+    if (heartbeat.usage) {
+        message.set_brief(true);
+        message.set_instance_hash(peerHash(heartbeat.instance.id));
+        addUsage(*heartbeat.usage, message);
+        return message.SerializeAsString();
+    }
     addLeaving(heartbeat.leaving, message);
     addCached(heartbeat.cached, message);
     addStalled(heartbeat.stalled, message);
@@ -274,6 +319,8 @@
     message.set_link_mbps(static_cast<std::uint32_t>(std::max(0, heartbeat.instance.linkMbps)));
     message.set_milli_cores(static_cast<std::uint32_t>(std::max(0, heartbeat.instance.milliCores)));
     message.set_domain(heartbeat.instance.domain.value());
+    if (heartbeat.wallTime)
+        message.set_wall_ms(toUnixMs(*heartbeat.wallTime));
     addLoads(sortedEntries(heartbeat), availableBytes, message);
     return message.SerializeAsString();
 }
@@ -301,13 +348,17 @@
             return failure(ErrorKind::UnknownTarget,
                            "brief heartbeat or report from an unknown instance");
         heartbeat.instance.id = *id;
-        if (message.has_group())
+        if (message.has_usage())
+            heartbeat.usage = readUsage(message, *id);
+        else if (message.has_group())
             heartbeat.group = readGroup(message, findServer);
         else
             readPackedLoads(message, findServer, heartbeat.requests);
     } else {
         BOOST_OUTCOME_TRY(heartbeat.instance, readInstance(message));
         readLoads(message, findServer, heartbeat);
+        if (message.wall_ms() != 0)
+            heartbeat.wallTime = fromUnixMs(message.wall_ms());
     }
     for (const auto &leaving : message.leaving()) {
         if (const auto *server = findServer(leaving.server_hash()))
--- a/modules/jy_gateway/peers/PeerTable.h
+++ b/modules/jy_gateway/peers/PeerTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jy_base/time/TimeTypes.h"
+#include "jy_gateway/duties/UsageMessage.h"
 #include "jy_gateway/model/FleetChange.h"
 #include "jy_gateway/placement/LoadTable.h"
 #include "jy_gateway/placement/PromptCacheIndex.h"
@@ -58,6 +59,12 @@
 
     /** Set in a report; the message then contains no state of the sender itself. */
     std::optional<GroupReport> group;
+
+    /** Time of day of the sender; only in complete heartbeats. */
+    std::optional<WallTime> wallTime;
+
+    /** Usage counts of the sender; the message then contains nothing else. */
+    std::optional<UsageMessage> usage;
 };
 
 /** Hash that identifies an instance in brief heartbeats and reports, in place of its id. */
--- a/modules/jy_gateway/registry/PeerStoreReader.cpp
+++ b/modules/jy_gateway/registry/PeerStoreReader.cpp
@@ -1,6 +1,6 @@
 #include "jy_gateway/registry/PeerStoreReader.h"
 
-#include "jy_base/hashing/StableHash.h"
+#include "jy_gateway/registry/InstanceRanking.h"
 #include "jy_runtime/logging/Log.h"
 
 #include <algorithm>
@@ -15,23 +15,12 @@
 // Two readers may fail at the same time before followers have to call the store themselves.
 constexpr std::size_t readerCount = 3;
 
-void sortByRank(std::string_view key, std::vector<RegisteredInstance> &instances)
-{
-    const auto hash = stableHash(key);
-    std::ranges::sort(instances, std::ranges::greater(), [&](const RegisteredInstance &instance) {
-        return rendezvousScore(hash, instance.id.value());
-    });
-}
-
 } // namespace
 
 std::vector<RegisteredInstance> storeReadersFor(const InstanceId &self,
                                                 const std::vector<RegisteredInstance> &live)
 {
-    auto readers = live;
-    sortByRank("store-readers", readers);
-    std::ranges::stable_sort(readers, std::ranges::greater(), &RegisteredInstance::linkMbps);
-    readers.resize(std::min(readers.size(), readerCount));
+    auto readers = widestInstances("store-readers", live, readerCount);
     if (std::ranges::find(readers, self, &RegisteredInstance::id) != readers.end())
         return {};
     sortByRank(self.value(), readers);
--- a/modules/jy_gateway/registry/StoreMirror.cpp
+++ b/modules/jy_gateway/registry/StoreMirror.cpp
@@ -5,8 +5,9 @@
 
 namespace jy {
 
-StoreMirror::StoreMirror(Observer observer)
+StoreMirror::StoreMirror(Observer observer, KeyFilter holds)
     : observer_(std::move(observer))
+    , holds_(std::move(holds))
 { }
 
 void StoreMirror::applyChanges(const std::vector<StoreItem> &changes, std::uint64_t asOf)
@@ -92,6 +93,8 @@
 
 bool StoreMirror::merge(const StoreItem &item)
 {
+    if (holds_ && !holds_(item.key))
+        return false;
     auto &known = items_[item.key];
     // Lists repeat unchanged items. A removal found by a list has the revision of that list, which
     // may equal that of the removed item.
--- a/modules/jy_gateway/registry/StoreMirror.h
+++ b/modules/jy_gateway/registry/StoreMirror.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jy {
@@ -24,7 +25,10 @@
     /** Called for each item that changes the copy, in the order of merging. */
     using Observer = std::function<void(const StoreItem &)>;
 
-    explicit StoreMirror(Observer observer);
+    /** Whether the copy holds a key. Others are skipped, so they are not passed on to peers. */
+    using KeyFilter = std::function<bool(std::string_view key)>;
+
+    explicit StoreMirror(Observer observer, KeyFilter holds = {});
 
     /** Merges changes of the store and moves the revision to @p asOf. */
     void applyChanges(const std::vector<StoreItem> &changes, std::uint64_t asOf);
@@ -65,6 +69,7 @@
     static constexpr std::size_t maxHistory = 1024;
 
     Observer observer_;
+    KeyFilter holds_;
     std::map<std::string, StoreItem> items_;
 
     /** The latest change of each key after revision historyStart_, in the order of the store. */
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -7,6 +7,7 @@
 #include <absl/cleanup/cleanup.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace jy {
 
@@ -132,6 +133,7 @@
         absl::MakeCleanup([&] { dependencies.stalls.requestEnded(registered.id, watch_); });
     dependencies.loads.requestStarted(registered.id);
     responseStarted_ = false;
+    began_ = false;
     const auto counted = absl::MakeCleanup(
         [&] { dependencies.loads.requestFinished(registered.id, responseStarted_); });
     auto opened = dependencies.client.open(registered.endpoint, outgoingRequest, attemptTimeout(),
@@ -160,7 +162,7 @@
 }
 
 HttpCallOptions RelayExchange::callOptions(const ServerId &server,
-                                           const std::shared_ptr<Cancellation> &cancellation) const
+                                           const std::shared_ptr<Cancellation> &cancellation)
 {
     HttpCallOptions options;
     options.cancellation = cancellation;
@@ -169,7 +171,10 @@
         const auto response = relay_.dependencies_.protocol.readResponseMetadata(status, headers);
         return response.requestId.empty() || response.requestId == metadata_.id.value();
     };
-    options.beforeSend = [this, server] { return mayStillSend(server); };
+    options.beforeSend = [this, server] {
+        sentAt_ = Clock::now();
+        return mayStillSend(server);
+    };
     return options;
 }
 
@@ -239,12 +244,20 @@
         mayHaveRun_ = true;
         return Step::MayHaveRun;
     default:
+        // The response was lost, so the server has most likely begun to run the request.
+        noteBegan(sentAt_);
         record(server, ServerOutcome::Failed);
         mayHaveRun_ = true;
         return Step::MayHaveRun;
     }
 }
 
+void RelayExchange::noteBegan(TimePoint time)
+{
+    if (!std::exchange(began_, true) && relay_.dependencies_.attemptBegan)
+        relay_.dependencies_.attemptBegan(workspace_, time);
+}
+
 void RelayExchange::applyServerState(const ResponseMetadata &metadata,
                                      const RegisteredServer &server)
 {
@@ -279,7 +292,11 @@
     recordWait();
     applyServerState(metadata, registered);
     const auto &server = registered.id;
-    switch (classifyResponse(stream.status(), metadata)) {
+    const auto responseClass = classifyResponse(stream.status(), metadata);
+    // A stream runs from its first token on, everything else once it was sent.
+    if (responseClass != ResponseClass::NotRun && !metadata.eventStream)
+        noteBegan(sentAt_);
+    switch (responseClass) {
     case ResponseClass::NotRun:
         lastError_ = {ErrorKind::NoCapacity, "the backend server refused the request",
                       retryAfter(PlacementReason::AllFull)};
@@ -399,6 +416,7 @@
         lastPart_ = received;
         if (!responseStarted_) {
             responseStarted_ = true;
+            noteBegan(received);
             relay_.dependencies_.loads.responseStarted(server);
             if (query_.affinity != 0)
                 relay_.dependencies_.prompts.addFromResponse(query_.affinity, query_.sharedTokens,
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -37,7 +37,7 @@
      */
     void beginWatch(const ServerId &server, const std::shared_ptr<Cancellation> &cancellation);
     HttpCallOptions callOptions(const ServerId &server,
-                                const std::shared_ptr<Cancellation> &cancellation) const;
+                                const std::shared_ptr<Cancellation> &cancellation);
     Step relayResponse(HttpStream &stream, const RegisteredServer &server);
 
     /** Applies what the response head states about its server: cold, leaving or backing off. */
@@ -62,6 +62,9 @@
     void giveUp();
     void sendError(const Error &error);
     void record(const ServerId &server, ServerOutcome outcome);
+
+    /** Reports once for each attempt that its server began to run it at @p time. */
+    void noteBegan(TimePoint time);
     void recordWait();
 
     Duration timeLeft() const;
@@ -104,6 +107,10 @@
     StallDetector::RequestKey watch_ = 0;
     bool stalled_ = false;
 
+    /** When the current attempt was sent, and whether its server is known to run it. */
+    TimePoint sentAt_;
+    bool began_ = false;
+
     /** Start of the current attempt, and the wait after which its server counts as silent. */
     TimePoint attemptStart_;
     std::chrono::milliseconds silenceTimeout_{0};
--- a/modules/jy_gateway/settings/GatewaySettings.cpp
+++ b/modules/jy_gateway/settings/GatewaySettings.cpp
@@ -53,6 +53,30 @@
         linkMbps, {0.001, 1e6});
 }
 
+void GatewayDutySettings::describe(SettingsVisitor &visitor)
+{
+    visitor.texts({"names", "Duties of the deployment; unknown ones are left alone."}, names, 0);
+    visitor.endpoint({"address", "Address for the calls of the holder of a duty."}, address);
+    visitor.number({"callsPerSecond", "Calls that the platform accepts from all instances."},
+                   callsPerSecond, {0.001, 1e6});
+    visitor.flag(
+        {"fencingRequired", "Whether the platform rejects calls with an outdated fencing token."},
+        fencingRequired);
+    visitor.number(
+        {"leaseMs",
+         "Lifetime of the holder's lease, and minimum time between acts of different holders."},
+        leaseMs, {1000, 600'000});
+    visitor.number({"usageWindowSeconds", "Length of a window of the usage reports."},
+                   usageWindowSeconds, {0.1, 86'400});
+    visitor.number(
+        {"usageDueSeconds", "Time after the end of a window at which its usage report is due."},
+        usageDueSeconds, {0.1, 86'400});
+    visitor.rule("address", names.empty() || !address.address.empty(),
+                 "an address, because names lists duties");
+    visitor.rule("names", !names.empty() || address.address.empty(),
+                 "at least one duty, because an address is set");
+}
+
 void GatewaySettings::describe(SettingsVisitor &visitor)
 {
     visitor.structure({"instance", "Identity of this instance."}, instance);
@@ -62,6 +86,7 @@
                       0);
     visitor.structure({"bounds", "Operational bounds set by the deployment."}, bounds);
     visitor.structure({"limits", "Resource limits of this instance."}, limits);
+    visitor.structure({"duties", "Duties that one instance at a time performs."}, duties);
     visitor.choice({"logLevel", "Minimum level of the lines logged; reread on SIGHUP."}, logLevel,
                    {"debug", "info", "warn", "error"});
 }
--- a/modules/jy_gateway/settings/GatewaySettings.h
+++ b/modules/jy_gateway/settings/GatewaySettings.h
@@ -49,6 +49,33 @@
     void describe(SettingsVisitor &visitor);
 };
 
+/** Duties that one instance at a time performs for the deployment. */
+struct GatewayDutySettings
+{
+    /** Names of the duties, as the platform calls them; unknown ones are left alone. */
+    std::vector<std::string> names;
+
+    /** Address for the calls of the holder. */
+    Endpoint address;
+
+    /** Calls that the platform accepts from the whole fleet. */
+    double callsPerSecond = 10;
+
+    /** Whether the platform rejects calls with an outdated fencing token. */
+    bool fencingRequired = false;
+
+    /** Lifetime of the holder's lease, and minimum time between acts of different holders. */
+    double leaseMs = 3000;
+
+    /** Length of a usage window. */
+    double usageWindowSeconds = 5;
+
+    /** Time after the end of a window at which its report is due. */
+    double usageDueSeconds = 10;
+
+    void describe(SettingsVisitor &visitor);
+};
+
 /** All settings of a gateway process. */
 struct GatewaySettings
 {
@@ -66,6 +93,7 @@
 
     GatewayBoundSettings bounds;
     GatewayLimitSettings limits;
+    GatewayDutySettings duties;
     std::string logLevel = "info";
 
     void describe(SettingsVisitor &visitor);
--- a/modules/jy_http/client/ClientExchange.cpp
+++ b/modules/jy_http/client/ClientExchange.cpp
@@ -55,6 +55,7 @@
     , connection_(std::move(connection))
     , cancellation_(options.cancellation)
     , isOwnResponse_(options.isOwnResponse)
+    , resetOnClose_(options.resetOnClose)
 {
     if (!cancellation_)
         return;
@@ -100,6 +101,8 @@
                        "connect to " + toString(endpoint_)
                            + (expired ? " timed out" : " failed: " + error.message()));
     socket.set_option(tcp::no_delay(true), error);
+    if (resetOnClose_)
+        socket.set_option(asio::socket_base::linger(true, 0), error);
     return success();
 }
 
--- a/modules/jy_http/client/ClientExchange.h
+++ b/modules/jy_http/client/ClientExchange.h
@@ -50,6 +50,7 @@
     int status_ = 0;
     HttpHeaders headers_;
     std::function<bool(int status, const HttpHeaders &)> isOwnResponse_;
+    bool resetOnClose_ = false;
     bool finished_ = false;
 
     /** The whole request was written, so the connection can be reused. */
--- a/modules/jy_http/client/HttpClient.h
+++ b/modules/jy_http/client/HttpClient.h
@@ -37,6 +37,12 @@
     /** Abandons the exchange; may be null. */
     std::shared_ptr<Cancellation> cancellation;
 
+    /**
+     * Closes the connection with a reset, so that bytes that the network still holds back are
+     * dropped. Without it a request may arrive long after its exchange has timed out.
+     */
+    bool resetOnClose = false;
+
     /** Sends the Host field of the request instead of the address of the server. */
     bool keepHost = false;
 
--- a/tests/platform/GatewayAddresses.cpp
+++ b/tests/platform/GatewayAddresses.cpp
@@ -48,7 +48,7 @@
 }
 
 void GatewayAddresses::writeSettings(const std::string &file, const Endpoint &store,
-                                     const Endpoint &seed) const
+                                     const Endpoint &seed, const std::string &more) const
 {
     std::ofstream settings(file);
     settings << R"({"instance":{"id":")" << id << R"(","domain":")" << domain
@@ -56,7 +56,7 @@
              << R"(","directory":")" << toString(directory) << R"(","readiness":")"
              << toString(readiness) << R"(","control":")" << toString(control) << R"(","peer":")"
              << toString(peer) << R"(","metrics":")" << toString(metrics) << R"("},"store":")"
-             << toString(store) << R"(","seeds":[")" << toString(seed) << R"("]})";
+             << toString(store) << R"(","seeds":[")" << toString(seed) << R"("])" << more << '}';
 }
 
 } // namespace jy::platform::test
--- a/tests/platform/GatewayAddresses.h
+++ b/tests/platform/GatewayAddresses.h
@@ -24,8 +24,11 @@
 
     static GatewayAddresses create(EventLoop &loop, std::string id, std::string domain = "a");
 
-    /** Writes the settings file of a gateway that listens on these addresses. */
-    void writeSettings(const std::string &file, const Endpoint &store, const Endpoint &seed) const;
+    /** Writes the settings file of a gateway that listens on these addresses.
+     *
+     * @param more further settings, as members of a JSON object with a leading comma */
+    void writeSettings(const std::string &file, const Endpoint &store, const Endpoint &seed,
+                       const std::string &more = {}) const;
 };
 
 } // namespace jy::platform::test
--- a/tests/platform/GatewayProcessTest.cpp
+++ b/tests/platform/GatewayProcessTest.cpp
@@ -1,4 +1,5 @@
 #include "GatewayAddresses.h"
+#include "StandinDuties.h"
 #include "StandinStore.h"
 
 #include "common/ChildProcess.h"
@@ -77,7 +78,7 @@
         instance.addresses = GatewayAddresses::create(loop_, name);
         const auto file = folder_ + '/' + name + ".json";
         instance.addresses.writeSettings(file, store.endpoint(),
-                                         instances.front().addresses.control);
+                                         instances.front().addresses.control, moreSettings);
         instance.process = std::make_unique<bench::ChildProcess>(
             JY_BINARY_DIR "/jygateway", std::vector<std::string>{"--settings=" + file},
             folder_ + '/' + name + ".log");
@@ -117,14 +118,17 @@
                  std::string(request.headers.value("Jacinthyoke-Attempt-Id"))}};
     }
 
-    int call(const Instance &instance, const std::string &path = "/a/x")
+    int call(const Instance &instance, const std::string &path = "/a/x",
+             const std::string &key = {})
     {
-        const auto response = client_->request(
-            instance.addresses.caller,
-            {.method = "POST",
-             .target = path,
-             .headers = {{"Host", "h"}, {"Jacinthyoke-Attempt-Id", std::to_string(++lastId_)}}},
-            seconds(5), {.freshConnection = true, .keepHost = true});
+        const auto response =
+            client_->request(instance.addresses.caller,
+                             {.method = "POST",
+                              .target = path,
+                              .headers = {{"Host", "h"},
+                                          {"Jacinthyoke-Attempt-Id", std::to_string(++lastId_)},
+                                          {"Jacinthyoke-Credential", key}}},
+                             seconds(5), {.freshConnection = true, .keepHost = true});
         return response ? response.value().status : 0;
     }
 
@@ -156,6 +160,9 @@
     StandinStore store;
     std::deque<Instance> instances;
 
+    /** Added to the settings of instances that start afterwards. */
+    std::string moreSettings;
+
 private:
     /** Prints the logs of instances that exited on their own. */
     void printLogsOfExited()
@@ -288,6 +295,61 @@
     });
 }
 
+// Guards against requests that no report contains, or two, and against duties that nobody performs:
+// the holder is killed, the next one is stopped as planned, and the third one reports the rest.
+TEST(GatewayProcessTest, UsageIsReportedOnceThroughChangesOfTheHolder)
+{
+    EventLoop loop;
+    loop.run([&] {
+        StandinDuties platform(loop);
+        GatewayFleet fleet(loop);
+        int runs = 0;
+        fleet.addBackend(runs);
+        fleet.store.put("op/config",
+                        R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/a/",)"
+                        R"("route_kind":"unsafe","service":"s","timeout_ms":3000}],"services":)"
+                        R"([{"name":"s","scaling":{"min":2,"max":5,"boot_s":8}}],"limits":{},)"
+                        R"("tenants":[{"name":"w","api_keys":["k"]}]})");
+        fleet.moreSettings = R"(,"duties":{"names":["usage_report","autoscale","other"],)"
+                             R"("address":")"
+            + toString(platform.endpoint())
+            + R"(","leaseMs":1000,"usageWindowSeconds":1,"usageDueSeconds":10})";
+        platform.leaseTime = seconds(1);
+        fleet.start(3);
+        ASSERT_TRUE(within(startBound, [&] { return fleet.allReady(); }));
+        const auto reported = [&] {
+            std::uint64_t sum = 0;
+            for (const auto &[window, count] : platform.reported)
+                sum += count;
+            return static_cast<int>(sum);
+        };
+        const auto callAll = [&] {
+            for (const auto &instance : fleet.instances) {
+                if (instance.process->running())
+                    EXPECT_EQ(fleet.call(instance, "/a/x", "k"), 200);
+            }
+        };
+        const auto holder = [&]() -> GatewayFleet::Instance & {
+            return *std::ranges::find(fleet.instances, platform.holders.back(),
+                                      [](const auto &entry) { return entry.addresses.id; });
+        };
+        callAll();
+        ASSERT_TRUE(within(seconds(15), [&] { return reported() == runs; }));
+        EXPECT_EQ(platform.ordered, (std::map<std::string, int>{{"s/a", 2}}));
+        callAll();
+        // By then the counts have reached the other collectors.
+        EventLoop::sleepFor(milliseconds(1200));
+        holder().process->kill();
+        EXPECT_TRUE(within(seconds(20), [&] { return reported() == runs; }));
+        callAll();
+        holder().process->terminate();
+        EXPECT_TRUE(within(seconds(20), [&] { return reported() == runs; }));
+        EXPECT_EQ(reported(), runs);
+        EXPECT_EQ(platform.holders.size(), 3U);
+        EXPECT_EQ(platform.violations, std::vector<std::string>());
+    });
+}
+
 } // namespace
 
 } // namespace jy::platform::test
