Order servers by load instead of the minimum

Change: ServerScaling keeps what is there under a moderate load, adds servers if over 0.6 of the slots are busy for 5 s, and removes some if under 0.03 are for 15 s, never while a domain is evacuated or has lost servers, with room for the loss of a domain.

The process test expected an order of the minimum; a moderate load is no reason for one, so it expects none.

--- a/modules/jy_gateway/duties/DutyRunner.cpp
+++ b/modules/jy_gateway/duties/DutyRunner.cpp
@@ -335,15 +335,17 @@
 void DutyRunner::orderServers()
 {
     const auto now = bootTime();
+    const auto services = dependencies_.scalableServices();
+    scaling_.observe(services, now);
     if (now < ordersAllowedAt_)
         return;
-    const auto order = scaling_.next(dependencies_.scalableServices(), now);
+    const auto order = scaling_.next(services, now);
     const auto credential = lease_.credentialForCall();
     if (!order || !credential)
         return;
     const auto sent = dependencies_.api.orderServers(*credential, *order);
     if (sent)
-        scaling_.accepted(*order);
+        scaling_.accepted(*order, now);
     else
         ordersAllowedAt_ = bootTime() + orderRetryPause;
     logEvent(sent ? LogLevel::Info : LogLevel::Warn, "servers-ordered",
