Ignore a renewal that succeeds after the duties were handed over

Cause, found by reading: release() at a planned stop ends the lease while a renewal of the other fiber is on its way; its success made the lease valid again and a call could follow one of the next holder, if it had not waited for the lease time. Ruled out: the exploration cannot show it, its instances do one thing at a time. The test fails before the change and passes after it.

--- a/modules/jy_gateway/duties/DutyLease.cpp
+++ b/modules/jy_gateway/duties/DutyLease.cpp
@@ -93,6 +93,9 @@
     if (!order_.renewalDue(requestSent))
         return success();
     auto renewed = store_.renewLease(lease_);
+    // The right may have been given up while the call was on its way.
+    if (!acquired_)
+        return renewed;
     if (renewed)
         order_.onGranted(token_, requestSent);
     else if (renewed.error().kind == ErrorKind::LeaseLost)
--- a/modules/jy_gateway/duties/DutyRunner.cpp
+++ b/modules/jy_gateway/duties/DutyRunner.cpp
@@ -61,6 +61,12 @@
     return sum;
 }
 
+/** Label of a call's result in the metrics. */
+std::string resultName(const Result<void> &result)
+{
+    return std::string(result ? "accepted" : answerFor(result.error().kind).name);
+}
+
 } // namespace
 
 DutyRunner::DutyRunner(DutyDependencies dependencies, const RegisteredInstance &self,
@@ -194,7 +200,10 @@
 
 void DutyRunner::runCalls(StopToken &stop)
 {
+    auto &holds =
+        dependencies_.metrics.gauge("jy_duty_holder", "1 while this instance holds the duties.");
     while (stop.sleepFor(callPeriod)) {
+        holds.set(lease_.held() ? 1 : 0);
         if (!lease_.held())
             continue;
         if (loadedTerm_ != lease_.token())
@@ -301,7 +310,7 @@
         reports_.failed(now);
     dependencies_.metrics
         .counter("jy_usage_reports_total", "Usage reports by result.",
-                 {{"result", std::string(sent ? "accepted" : answerFor(sent.error().kind).name)}})
+                 {{"result", resultName(sent)}})
         .add();
     logEvent(sent ? LogLevel::Info : LogLevel::Warn, sent ? "usage-sent" : "usage-not-sent",
              {{"window", window},
@@ -348,6 +357,10 @@
         scaling_.accepted(*order, now);
     else
         ordersAllowedAt_ = bootTime() + orderRetryPause;
+    dependencies_.metrics
+        .counter("jy_server_orders_total", "Orders of backend servers by result.",
+                 {{"result", resultName(sent)}})
+        .add();
     logEvent(sent ? LogLevel::Info : LogLevel::Warn, "servers-ordered",
              {{"service", order->service},
               {"domain", order->domain},
--- a/tests/jy_gateway/DutyLeaseTest.cpp
+++ b/tests/jy_gateway/DutyLeaseTest.cpp
@@ -224,6 +224,30 @@
                     ExplorationCase{"SkipsTakeoverDelay", Mutant::SkipsTakeoverDelay, true}),
     [](const auto &info) { return std::string(info.param.name); });
 
+// Guards against a holder that goes on after a hand-over, because a renewal that was on its way at
+// that time succeeded.
+TEST(DutyLeaseTest, RenewalDoesNotUndoTheHandOver)
+{
+    DutyStore store;
+    const StoreFault fault = StoreFault::None;
+    auto shared = store.open(fault);
+    DutyLease *lease = nullptr;
+    const auto renewLease = shared.renewLease;
+    shared.renewLease = [&](std::uint64_t id) {
+        auto renewed = renewLease(id);
+        (void)lease->release();
+        return renewed;
+    };
+    DutyLease holder(shared, {InstanceId("a"), 1}, settings, [&] { return store.now; });
+    lease = &holder;
+    ASSERT_TRUE(holder.acquire());
+    store.advance(milliseconds(2000));
+    (void)holder.renew();
+    store.advance(milliseconds(1400));
+    EXPECT_FALSE(holder.held());
+    EXPECT_FALSE(holder.credentialForCall());
+}
+
 // Guards against duties that nobody performs: without faults the first instance acts from the end
 // of the takeover delay on, and after it has stopped the second one does.
 TEST(DutyLeaseTest, DutiesAreTakenOver)
