--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/json/serialize.hpp>
 
+#include <utility>
+
 namespace jy::soak {
 
 namespace {
@@ -41,6 +43,7 @@
 SoakFleet::SoakFleet(EventLoop &loop, const SoakSettings &settings, Ledger::Report report)
     : ledger(disturbances, {}, std::move(report))
     , store(loop)
+    , duties(loop)
     , loop_(loop)
     , settings_(settings)
     , dice_(settings.seed)
@@ -82,7 +85,7 @@
 
 void SoakFleet::startGateway(SoakGateway &gateway)
 {
-    gateway.start(settings_.folder, gateways.front().controlAddress());
+    gateway.start(settings_.folder, gateways.front().controlAddress(), duties.endpoint());
     endedAt_.erase(gateway.place().id);
 }
 
@@ -175,6 +178,8 @@
 
 void SoakFleet::watch()
 {
+    for (const auto &violation : std::exchange(duties.violations, {}))
+        ledger.note("ONE", violation);
     for (auto &gateway : gateways) {
         if (!gateway.started() || gateway.running() || endedAt_.contains(gateway.place().id))
             continue;
--- a/tests/soak/SoakFleet.h
+++ b/tests/soak/SoakFleet.h
@@ -4,6 +4,7 @@
 #include "SoakGateway.h"
 #include "SoakServer.h"
 
+#include "platform/StandinDuties.h"
 #include "platform/StandinStore.h"
 
 #include <deque>
@@ -52,7 +53,8 @@
     bool ready(const SoakGateway &gateway);
     bool allReady();
 
-    /** Records the exit time of gateways and reports unexpected exits. */
+    /** Records the exit time of gateways, and reports unexpected exits and duties that were not
+     * performed by one holder at a time. */
     void watch();
 
     /** Ends every active fault and restarts stopped gateways and servers. */
@@ -64,6 +66,7 @@
     Disturbances disturbances;
     Ledger ledger;
     platform::test::StandinStore store;
+    platform::test::StandinDuties duties;
     std::deque<SoakGateway> gateways;
     std::deque<std::unique_ptr<SoakServer>> servers;
 
--- a/tests/soak/SoakGateway.cpp
+++ b/tests/soak/SoakGateway.cpp
@@ -19,10 +19,12 @@
     peerLink = standins::createUdpLink(loop.io(), peerAddress_.port, place_.peer.port, dice);
 }
 
-void SoakGateway::start(const std::string &folder, const Endpoint &seed)
+void SoakGateway::start(const std::string &folder, const Endpoint &seed, const Endpoint &dutyApi)
 {
     const auto base = folder + '/' + place_.id;
-    place_.writeSettings(base + ".json", storeAddress_, seed);
+    place_.writeSettings(base + ".json", storeAddress_, seed,
+                         R"(,"duties":{"names":["usage_report","autoscale"],"address":")"
+                             + toString(dutyApi) + R"(","usageWindowSeconds":2})");
     ending = false;
     process = std::make_shared<bench::ChildProcess>(
         JY_BINARY_DIR "/jygateway", std::vector<std::string>{"--settings=" + base + ".json"},
--- a/tests/soak/SoakGateway.h
+++ b/tests/soak/SoakGateway.h
@@ -25,7 +25,7 @@
     const Endpoint &controlAddress() const { return controlAddress_; }
     const Endpoint &peerAddress() const { return peerAddress_; }
 
-    void start(const std::string &folder, const Endpoint &seed);
+    void start(const std::string &folder, const Endpoint &seed, const Endpoint &dutyApi);
 
     bool started() const { return process != nullptr; }
     bool running() const { return process && process->running(); }
