Send due usage reports without pauses after an outage

The store had been away for 8 s; the holder kept its lease, read its state again and first repeated a report that it had sent itself, because the stored state does not tell that it was accepted, then took one step each 0.1 s. Ruled out: a lost holder (same token before and after), the platform's API (every call was accepted).

Change: a holder remembers which of its own reports were accepted, and takes up to eight steps at once. The test fails before and passes after.

Also the stand-in engine iterated over a member of a temporary JSON value, of which the compiler warned.

--- a/modules/jy_gateway/duties/DutyRunner.cpp
+++ b/modules/jy_gateway/duties/DutyRunner.cpp
@@ -27,6 +27,9 @@
 constexpr milliseconds leasePeriod{100};
 constexpr milliseconds callPeriod{100};
 
+// Steps of the usage reports without a pause; two for each window.
+constexpr int maxStepsAtOnce = 8;
+
 // Pause after a failed call to the store.
 constexpr milliseconds storeRetryPause{400};
 
@@ -219,7 +222,8 @@
             }
         }
         if (settings_.duties.contains(Duty::UsageReport)) {
-            reportUsage();
+            // After an outage several windows are due, each within its own time.
+            for (int step = 0; step < maxStepsAtOnce && reportUsage(); ++step) { }
             storeSnapshot();
         }
         if (settings_.duties.contains(Duty::Autoscale))
@@ -260,7 +264,7 @@
     return success();
 }
 
-void DutyRunner::reportUsage()
+bool DutyRunner::reportUsage()
 {
     std::set<InstanceId> live;
     for (const auto &instance : dependencies_.liveInstances())
@@ -269,15 +273,16 @@
     const auto action = reports_.next(table_.firstWindow(), dependencies_.trueTime(), complete);
     switch (action.step) {
     case UsageReports::Step::Wait:
-        return;
+        return false;
     case UsageReports::Step::Store:
         return storeReport(action.window);
     case UsageReports::Step::Send:
         return sendReport(action.window);
     }
+    return false;
 }
 
-void DutyRunner::storeReport(UsageWindow window)
+bool DutyRunner::storeReport(UsageWindow window)
 {
     auto reports = reports_.withNew({window, table_.totals(window)});
     const auto stored = dependencies_.store.commit(
@@ -288,18 +293,19 @@
         needsLoad_ = true;
         logEvent(LogLevel::Warn, "usage-not-stored",
                  {{"window", window}, {"reason", stored.error().message}});
-        return;
+        return false;
     }
     reportsRevision_ = stored.value();
     reports_.stored(std::move(reports));
+    return true;
 }
 
-void DutyRunner::sendReport(UsageWindow window)
+bool DutyRunner::sendReport(UsageWindow window)
 {
     const auto *entry = reports_.find(window);
     const auto credential = lease_.credentialForCall();
     if (!entry || !credential)
-        return;
+        return false;
     const auto report = entry->report;
     const auto sent = dependencies_.api.reportUsage(*credential, report);
     const auto now = dependencies_.trueTime();
@@ -320,6 +326,7 @@
               {"after_ms", std::chrono::floor<milliseconds>(late)},
               {"overdue", late > settings_.usageLateness},
               {"outcome", sent ? std::string("accepted") : sent.error().message}});
+    return sent.has_value();
 }
 
 void DutyRunner::storeSnapshot()
--- a/modules/jy_gateway/duties/DutyRunner.h
+++ b/modules/jy_gateway/duties/DutyRunner.h
@@ -90,9 +90,11 @@
 
     void beginTerm();
     Result<void> load();
-    void reportUsage();
-    void storeReport(UsageWindow window);
-    void sendReport(UsageWindow window);
+
+    /** Takes the next step of the reports. @returns whether another one may follow at once */
+    bool reportUsage();
+    bool storeReport(UsageWindow window);
+    bool sendReport(UsageWindow window);
     void storeSnapshot();
     void orderServers();
 
--- a/modules/jy_gateway/duties/UsageReports.cpp
+++ b/modules/jy_gateway/duties/UsageReports.cpp
@@ -16,6 +16,11 @@
 
 void UsageReports::load(std::deque<StoredReport> reports)
 {
+    for (auto &entry : reports) {
+        const auto *known = find(entry.report.window);
+        if (known && known->report == entry.report)
+            entry.accepted = entry.accepted || known->accepted;
+    }
     reports_ = std::move(reports);
     retryAt_ = {};
     retryPause_ = firstRetryPause;
--- a/modules/jy_gateway/duties/UsageReports.h
+++ b/modules/jy_gateway/duties/UsageReports.h
@@ -53,7 +53,8 @@
 
     explicit UsageReports(UsageReportSettings settings);
 
-    /** Replaces all state by the stored reports, at the begin of a term as holder. */
+    /** Replaces all state by the stored reports. Those that the platform has accepted from this
+     * instance are not sent again. */
     void load(std::deque<StoredReport> reports);
 
     /**
--- a/standins/standin_engine/EngineControl.cpp
+++ b/standins/standin_engine/EngineControl.cpp
@@ -121,7 +121,8 @@
     const std::string entry = fetch(textOf(body, "source"),
                                     "/v1/kv/export?chat=" + percentEncode(textOf(body, "handle")));
     std::vector<std::uint64_t> prefixes;
-    for (const auto &prefix : boost::json::parse(entry).as_array())
+    const auto list = boost::json::parse(entry);
+    for (const auto &prefix : list.as_array())
         prefixes.push_back(prefix.to_number<std::uint64_t>());
     cache_.store(textOf(body, "chat"), prefixes, knobs.cacheEntries);
     sendJson(responder, object{});
--- a/tests/jy_gateway/UsageTest.cpp
+++ b/tests/jy_gateway/UsageTest.cpp
@@ -245,6 +245,21 @@
     RC_ASSERT(reported.contains(calendar.windowAt(now - seconds(10))));
 }
 
+// Guards against windows that become overdue because the holder first repeats reports that it knows
+// to be accepted, after it had to read the store again.
+TEST(UsageReportsTest, AcceptedReportsAreNotRepeatedByTheSameHolder)
+{
+    const auto always = [](WallTime) { return true; };
+    const StoredReport stored{{firstWindow, {{workspace, 3}}}, false};
+    UsageReports reports({calendar, seconds(10)});
+    reports.load({stored});
+    const auto now = calendar.endOf(firstWindow) + seconds(1);
+    EXPECT_EQ(reports.next(firstWindow, now, always).step, UsageReports::Step::Send);
+    reports.accepted(firstWindow);
+    reports.load({stored});
+    EXPECT_EQ(reports.next(firstWindow, now, always).step, UsageReports::Step::Wait);
+}
+
 struct DueCase
 {
     const char *name;
