Try to become the holder only with a current copy of the store

Cause, found by reading: an instance that starts while the store is away knows no holder, so after 2 to 8 s every instance of the fleet would have called the store about twice a second until its return. Ruled out for running instances: they keep the last holder that they know.

Change: mayAcquire() also asks whether the copy is complete and current.

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -115,6 +115,7 @@
                                            dutySettings().lease.callTimeout()),
                .metrics = metrics_,
                .liveInstances = [this] { return liveInstances(); },
+               .storeInContact = [this] { return sync_.inContact(); },
                .trueTime = [this] { return trueTime(); },
                .sendUsage = [this](const UsageMessage &usage,
                                    const RegisteredInstance &to) { sendUsage(usage, to); },
--- a/modules/jy_gateway/duties/DutyRunner.cpp
+++ b/modules/jy_gateway/duties/DutyRunner.cpp
@@ -115,7 +115,7 @@
 
 bool DutyRunner::mayAcquire(TimePoint now) const
 {
-    if (holder_ || released_ || now < vacantSince_)
+    if (holder_ || released_ || now < vacantSince_ || !dependencies_.storeInContact())
         return false;
     const auto vacant = now - vacantSince_;
     const auto ranked = collectors();
--- a/modules/jy_gateway/duties/DutyRunner.h
+++ b/modules/jy_gateway/duties/DutyRunner.h
@@ -40,6 +40,10 @@
     /** Live instances, including this one. */
     std::function<std::vector<RegisteredInstance>()> liveInstances;
 
+    /** Whether the copy of the store is complete and current, so that a missing holder means that
+     * there is none. */
+    std::function<bool()> storeInContact;
+
     std::function<WallTime()> trueTime;
 
     /** Sends usage counts to another instance; may lose them. */
--- a/modules/jy_gateway/relay/RelayEnding.cpp
+++ b/modules/jy_gateway/relay/RelayEnding.cpp
@@ -1,8 +1,11 @@
-// The part of RelayExchange that ends requests without a usable response.
+// The part of RelayExchange that retries or ends requests without a usable response.
 
 #include "jy_base/errors/ErrorTable.h"
 #include "jy_gateway/relay/RelayExchange.h"
 #include "jy_gateway/relay/ResponseRules.h"
+#include "jy_runtime/logging/Log.h"
+
+#include <algorithm>
 
 namespace jy {
 
@@ -13,8 +16,28 @@
 
 constexpr int unavailableStatus = 503;
 
+// Bounds the servers tried for one request, including those that refuse the connection.
+constexpr int maxServersTried = 4;
+
 } // namespace
 
+bool RelayExchange::mayTryAgain(Step step)
+{
+    if (timeLeft() <= milliseconds(1) || outcome_.attempts >= maxServersTried)
+        return false;
+    if (step == Step::NotSent)
+        return true;
+    const bool repeatable = step == Step::NotRun || (isResumable() && !unbufferedStarted_)
+        || (route_.repeatable() && !responder_.started());
+    if (!repeatable || sentTo_ >= std::max(1, route_.maxAttempts))
+        return false;
+    if (relay_.budgetFor(query_.service).tryRetry(Clock::now()))
+        return true;
+    logEvent(LogLevel::Warn, "retry-budget-spent",
+             {{"request", metadata_.id}, {"service", query_.service}});
+    return false;
+}
+
 void RelayExchange::refuse(PlacementReason reason)
 {
     if (outcome_.attempts > 0) {
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -24,9 +24,6 @@
 constexpr int attemptTimeoutFactor = 2;
 constexpr milliseconds shortestAttempt{250};
 
-// Bounds the servers tried for one request, including those that refuse the connection.
-constexpr int maxServersTried = 4;
-
 // Responses up to this size are buffered, so that the request can be retried if the connection
 // breaks. Longer ones are forwarded as they arrive; most responses are a few kilobytes.
 constexpr std::size_t maxBufferedResponseBytes = 64 * 1024;
@@ -445,23 +442,6 @@
     return Step::Done;
 }
 
-bool RelayExchange::mayTryAgain(Step step)
-{
-    if (timeLeft() <= milliseconds(1) || outcome_.attempts >= maxServersTried)
-        return false;
-    if (step == Step::NotSent)
-        return true;
-    const bool repeatable = step == Step::NotRun || (isResumable() && !unbufferedStarted_)
-        || (route_.repeatable() && !responder_.started());
-    if (!repeatable || sentTo_ >= std::max(1, route_.maxAttempts))
-        return false;
-    if (relay_.budgetFor(query_.service).tryRetry(Clock::now()))
-        return true;
-    logEvent(LogLevel::Warn, "retry-budget-spent",
-             {{"request", metadata_.id}, {"service", query_.service}});
-    return false;
-}
-
 void RelayExchange::recordWait()
 {
     relay_.waits_.add(route_.name, std::chrono::ceil<milliseconds>(Clock::now() - attemptStart_));
