Keep the platform's limit on duty calls

Cause, found by reading: the setting callsPerSecond was checked but had no effect. Change: the holder pauses after each call for the interval that the limit gives. Ruled out as a problem before: on the deployments at hand the limit is 50 a second and a holder sent at most eight calls at once.

--- a/modules/jy_gateway/assembly/GatewayDuties.cpp
+++ b/modules/jy_gateway/assembly/GatewayDuties.cpp
@@ -24,7 +24,8 @@
 {
     const auto &given = settings_.duties;
     DutySettings settings{.usageWindow = fromSeconds(given.usageWindowSeconds),
-                          .usageLateness = fromSeconds(given.usageDueSeconds)};
+                          .usageLateness = fromSeconds(given.usageDueSeconds),
+                          .callInterval = fromSeconds(1 / given.callsPerSecond)};
     settings.lease.lifetime = milliseconds(static_cast<std::int64_t>(given.leaseMs));
     settings.lease.fencingRequired = given.fencingRequired;
     for (const auto &name : given.names) {
--- a/modules/jy_gateway/duties/DutyRunner.cpp
+++ b/modules/jy_gateway/duties/DutyRunner.cpp
@@ -5,6 +5,7 @@
 #include "jy_base/time/BootClock.h"
 #include "jy_gateway/duties/UsageJson.h"
 #include "jy_gateway/registry/InstanceRanking.h"
+#include "jy_runtime/fibers/EventLoop.h"
 #include "jy_runtime/logging/Log.h"
 
 #include <algorithm>
@@ -36,9 +37,10 @@
 // Time from the start until an instance may acquire the duties: by then it knows the others.
 constexpr milliseconds startupTime{2000};
 
-// The collectors try to acquire vacant duties in the order of their rank, this much apart; other
-// instances only after the last time, spread over the spread.
+// The collectors try to acquire vacant duties in the order of their rank, this much apart.
 constexpr milliseconds rankDelay{400};
+
+// Other instances try only if no collector has, at different times, so that few of them meet.
 constexpr milliseconds outsiderDelay{4000};
 constexpr milliseconds outsiderSpread{4000};
 
@@ -255,7 +257,7 @@
             if (!snapshot)
                 logEvent(LogLevel::Warn, "usage-snapshot-unreadable",
                          {{"revision", item.revision}});
-            else if (storedSnapshot_.empty())
+            else if (storedSnapshot_.empty()) // Otherwise the table contains the snapshot's counts.
                 table_.restore(std::move(*snapshot));
         }
     }
@@ -309,6 +311,7 @@
     const auto report = entry->report;
     const auto sent = dependencies_.api.reportUsage(*credential, report);
     const auto now = dependencies_.trueTime();
+    EventLoop::sleepFor(settings_.callInterval);
     const auto late = now - calendar_.endOf(window);
     if (sent)
         reports_.accepted(window);
@@ -360,6 +363,7 @@
     if (!order || !credential)
         return;
     const auto sent = dependencies_.api.orderServers(*credential, *order);
+    EventLoop::sleepFor(settings_.callInterval);
     if (sent)
         scaling_.accepted(*order, now);
     else
--- a/modules/jy_gateway/duties/DutyRunner.h
+++ b/modules/jy_gateway/duties/DutyRunner.h
@@ -26,6 +26,9 @@
     DutyLeaseSettings lease;
     std::chrono::milliseconds usageWindow{5000};
     std::chrono::milliseconds usageLateness{10000};
+
+    /** Time between two calls to the platform, by its limit on calls. */
+    std::chrono::milliseconds callInterval{100};
 };
 
 /** References must outlive the runner. All hooks are called on the loop's thread. */
