Keep one copy of the conversion to Unix milliseconds

Cause: read-through; toUnixMs() stood in HeartbeatCodec.cpp and UsageJson.cpp. Change: jy_base/time/UnixTime.h; no behaviour. Ruled out for now: one parser for the small JSON objects of the duties, whose shape repeats by a few lines.

--- a/modules/jy_gateway/duties/UsageJson.cpp
+++ b/modules/jy_gateway/duties/UsageJson.cpp
@@ -1,20 +1,13 @@
 #include "jy_gateway/duties/UsageJson.h"
 
+#include "jy_base/time/UnixTime.h"
+
 #include <absl/strings/numbers.h>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 namespace jy {
 
-namespace {
-
-std::int64_t toUnixMs(WallTime time)
-{
-    return std::chrono::floor<std::chrono::milliseconds>(time.time_since_epoch()).count();
-}
-
-} // namespace
-
 boost::json::object toJson(const WorkspaceCounts &counts)
 {
     boost::json::object object;
@@ -56,7 +49,7 @@
     const auto *windows = object ? object->if_contains("windows") : nullptr;
     if (!taken || !taken->is_int64() || !windows || !windows->is_object())
         return std::nullopt;
-    UsageSnapshot snapshot{.taken = WallTime(std::chrono::milliseconds(taken->get_int64()))};
+    UsageSnapshot snapshot{.taken = fromUnixMs(taken->get_int64())};
     for (const auto &[name, entry] : windows->get_object()) {
         UsageWindow window = 0;
         auto counts = countsFromJson(entry);
--- a/modules/jy_gateway/peers/HeartbeatCodec.cpp
+++ b/modules/jy_gateway/peers/HeartbeatCodec.cpp
@@ -1,6 +1,7 @@
 #include "jy_gateway/peers/HeartbeatCodec.h"
 
 #include "jy_base/hashing/StableHash.h"
+#include "jy_base/time/UnixTime.h"
 #include "jy_gateway/peers/generated/beat.pb.h"
 
 #include <algorithm>
@@ -241,16 +242,6 @@
     return report;
 }
 
-std::int64_t toUnixMs(WallTime time)
-{
-    return std::chrono::floor<std::chrono::milliseconds>(time.time_since_epoch()).count();
-}
-
-WallTime fromUnixMs(std::int64_t time)
-{
-    return WallTime(std::chrono::milliseconds(time));
-}
-
 void addUsage(const UsageMessage &usage, wire::Beat &message)
 {
     auto *encoded = message.mutable_usage();
