--- a/modules/jy_gateway/placement/PromptAffinity.cpp
+++ b/modules/jy_gateway/placement/PromptAffinity.cpp
@@ -13,6 +13,14 @@
     return stableHash(shared.id) | 1;
 }
 
+std::vector<PromptPartKey> sharedParts(const std::vector<PromptPart> &prompt)
+{
+    std::vector<PromptPartKey> keys;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+        keys.push_back(static_cast<PromptPartKey>(stableHash(prompt[i].id)));
+    return keys;
+}
+
 std::int64_t sharedTokens(const std::vector<PromptPart> &prompt)
 {
     std::int64_t tokens = 0;
--- a/modules/jy_gateway/placement/PromptAffinity.h
+++ b/modules/jy_gateway/placement/PromptAffinity.h
@@ -16,6 +16,12 @@
  */
 std::uint64_t promptAffinity(const std::vector<PromptPart> &prompt);
 
+/** Identifies a prompt part in logs and in messages between instances. */
+using PromptPartKey = std::uint32_t;
+
+/** @returns the keys of all parts except the last one, which is specific to the request. */
+std::vector<PromptPartKey> sharedParts(const std::vector<PromptPart> &prompt);
+
 /** @returns the number of tokens of all parts except the last one, which is specific to the
  * request.
  */
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -1,12 +1,13 @@
 #include "jy_gateway/relay/RelayExchange.h"
 
-#include "jy_gateway/placement/PromptAffinity.h"
 #include "jy_gateway/relay/ResponseRules.h"
 #include "jy_runtime/logging/Log.h"
 
 #include <absl/cleanup/cleanup.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace jy {
@@ -61,6 +62,7 @@
     , bufferLease_(relay.dependencies_.bodyBudget)
 {
     query_.service = pickService(route, relay.draw());
+    parts_ = sharedParts(metadata.prompt);
     query_.affinity = route.cachesPrompts ? promptAffinity(metadata.prompt) : 0;
     query_.sharedTokens = sharedTokens(metadata.prompt);
     if (query_.affinity == 0)
@@ -137,8 +139,11 @@
                                            callOptions(registered.id, cancellation));
     if (opened || !isUnsent(opened.error().kind))
         ++sentTo_;
-    return opened ? relayResponse(*opened.value(), registered)
-                  : fail(opened.error(), registered.id);
+    if (opened)
+        return relayResponse(*opened.value(), registered);
+    if (opened.error().kind == ErrorKind::BackendBroken)
+        noteBroken(registered.id, BreakPoint::BeforeHead);
+    return fail(opened.error(), registered.id);
 }
 
 void RelayExchange::beginWatch(const ServerId &server,
@@ -249,6 +254,20 @@
     }
 }
 
+void RelayExchange::noteBroken(const ServerId &server, BreakPoint point)
+{
+    if (!relay_.failedLines_.allow(Clock::now()))
+        return;
+    constexpr std::array names = {"before-head", "after-head", "in-body"};
+    logEvent(LogLevel::Info, "attempt-broken",
+             {{"request", metadata_.id},
+              {"server", server},
+              {"attempt", outcome_.attempts},
+              {"point", names[static_cast<std::size_t>(point)]},
+              {"after_ms", Clock::now() - attemptStart_},
+              {"parts", absl::StrJoin(parts_, ",")}});
+}
+
 void RelayExchange::noteBegan(TimePoint time)
 {
     if (!std::exchange(began_, true) && relay_.dependencies_.attemptBegan)
@@ -318,6 +337,8 @@
     const auto released = absl::MakeCleanup([this] { bufferLease_.release(); });
     while (true) {
         auto part = stream.readSome(remainingWait());
+        if (!part && part.error().kind == ErrorKind::BackendBroken)
+            noteBroken(server, response.body.empty() ? BreakPoint::AfterHead : BreakPoint::InBody);
         if (!part)
             return fail(part.error(), server);
         if (part.value().empty())
@@ -393,6 +414,7 @@
     mayHaveRun_ = true;
     // Progress is measured in events, as a stalled server may still send single bytes.
     auto lastProgress = Clock::now();
+    bool gotEvent = false;
     while (true) {
         auto wait = remainingWait();
         if (isResumable())
@@ -400,6 +422,8 @@
         auto part = stream.readSome(wait);
         if (!part) {
             events_.dropRemainder();
+            if (part.error().kind == ErrorKind::BackendBroken)
+                noteBroken(server, gotEvent ? BreakPoint::InBody : BreakPoint::AfterHead);
             return fail(part.error(), server);
         }
         if (part.value().empty())
@@ -420,8 +444,10 @@
                                                              server, received);
         }
         const auto events = events_.add(part.value());
-        if (events_.madeProgress())
+        if (events_.madeProgress()) {
             lastProgress = Clock::now();
+            gotEvent = true;
+        }
         if (events_.remainder() > maxEventBytes || !bufferLease_.resize(events_.remainder())) {
             events_.dropRemainder();
             return fail({ErrorKind::BackendBroken, "an event is too long to buffer"}, server);
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jy_gateway/placement/PromptAffinity.h"
 #include "jy_gateway/relay/EventSplitter.h"
 #include "jy_gateway/relay/RequestRelay.h"
 
@@ -53,6 +54,16 @@
     Step finishBuffered(HttpResponse response, const ServerId &server);
     Step relayEvents(HttpStream &stream, const ServerId &server);
     Step fail(const Error &error, const ServerId &server);
+
+    /** How far a response had come when its connection broke. */
+    enum class BreakPoint {
+        BeforeHead,
+        AfterHead, /**< no event or part of the body had arrived */
+        InBody,
+    };
+
+    /** Logs that the server ended the connection of the current attempt. */
+    void noteBroken(const ServerId &server, BreakPoint point);
     Step callerLeft();
     HttpRequest outgoing(const ServerState &server, const ServerId &cachedAt) const;
     bool startResponse(const HttpStream &stream);
@@ -99,6 +110,9 @@
     /** When the last part of a stream arrived. */
     TimePoint lastPart_;
 
+    /** Keys of the prompt parts that other requests may share. */
+    std::vector<PromptPartKey> parts_;
+
     /** Whether the current attempt has received the first part of an event stream. */
     bool responseStarted_ = false;
 
