--- a/tests/jy_gateway/RelayFixture.h
+++ b/tests/jy_gateway/RelayFixture.h
@@ -5,6 +5,7 @@
 #include "jy_gateway/relay/RequestRelay.h"
 #include "jy_http/HttpTestServer.h"
 
+#include <absl/strings/str_split.h>
 #include <gtest/gtest.h>
 
 namespace jy::test {
@@ -19,8 +20,12 @@
         RequestMetadata metadata;
         metadata.id = RequestId(std::string(headers.value("Id")));
         metadata.credential = headers.value("Key");
-        if (const auto shared = headers.find("Shared"))
-            metadata.prompt = {{std::string(*shared), longPrefix}, {"own", 10}};
+        if (const auto shared = headers.find("Shared")) {
+            const std::vector<std::string> parts = absl::StrSplit(std::string(*shared), ',');
+            for (const auto &part : parts)
+                metadata.prompt.push_back({part, longPrefix});
+            metadata.prompt.push_back({"own", 10});
+        }
         if (headers.find("Patience"))
             metadata.callerTimeout =
                 milliseconds(std::stoi(std::string(headers.value("Patience"))));
@@ -116,11 +121,11 @@
         addRegistration(endpoint);
     }
 
-    Result<HttpResponse> call(HttpHeaders headers = {{"Id", "r1"}})
+    Result<HttpResponse> call(HttpHeaders headers = {{"Id", "r1"}}, const std::string &path = "/x")
     {
         headers.add("Host", "h");
         return client_->request(server_->localEndpoint(),
-                                {.method = "POST", .target = "/x", .headers = headers}, callLimit,
+                                {.method = "POST", .target = path, .headers = headers}, callLimit,
                                 {.keepHost = true});
     }
 
