Refuse requests with a prompt part that crashes servers

Cause: a broken response counted against the server alone, nothing remembered what the request contained. Class of fault: poison request without quarantine. Ruled out by attempt-broken lines: repeats of one request, and copies of caches.

PromptQuarantine counts servers that end at the start of a response, by prompt part; a part with crashes of several servers at different times and no recent answer is refused at once with 503 (not run) and a time to return. Instances exchange crashes and objections in heartbeats; the parts that sound requests share are cleared by their responses.

--- a/modules/jy_base/errors/Error.h
+++ b/modules/jy_base/errors/Error.h
@@ -24,6 +24,7 @@
     WorkspaceLimited,
     OverBound,
     Cold,
+    PromptQuarantined,
     DomainOut,
     ServerLeaving,
     VersionStopped,
--- a/modules/jy_base/errors/ErrorTable.cpp
+++ b/modules/jy_base/errors/ErrorTable.cpp
@@ -38,6 +38,8 @@
                 Later},
     ErrorAnswer{K::OverBound, "over_bound", 503, grpcResourceExhausted, NotRun, Later},
     ErrorAnswer{K::Cold, "cold", 503, grpcResourceExhausted, NotRun, Later},
+    ErrorAnswer{K::PromptQuarantined, "prompt_quarantined", 503, grpcFailedPrecondition, NotRun,
+                Later},
     ErrorAnswer{K::DomainOut, "domain_out", 307, grpcFailedPrecondition, NotRun, OtherRouter},
     ErrorAnswer{K::ServerLeaving, "server_leaving", 503, grpcFailedPrecondition, NotRun, Later},
     ErrorAnswer{K::VersionStopped, "version_stopped", 503, grpcFailedPrecondition, NotRun, Later},
--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -109,6 +109,7 @@
     , incarnation_(unixMilliseconds())
     , stalls_([this](const ServerId &server) { return isFull(server); })
     , cold_(self_.id)
+    , quarantine_(self_.id)
     , chooser_(fleet_, loads_, health_, backoff_, stalls_, cold_)
     , duties_({.store = store_,
                .api = adapter_.openDutyApi(*dutyClient_, settings_.duties.address,
@@ -129,6 +130,7 @@
               .chooser = chooser_,
               .prompts = prompts_,
               .stalls = stalls_,
+              .quarantine = quarantine_,
               .protocol = adapter_.protocol,
               .metrics = metrics_,
               .bodyBudget = bodyBudget_,
--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -104,6 +104,7 @@
     void runHousekeeping(StopToken &stop);
     void runPeerCopies(StopToken &stop);
     void runStallChecks(StopToken &stop);
+    void updateQuarantine(TimePoint now);
     void fetchPeerCopy();
     void applyLimits();
     void waitForSignals();
@@ -152,6 +153,7 @@
     ServerBackoff backoff_;
     StallDetector stalls_;
     ColdAllowance cold_;
+    PromptQuarantine quarantine_;
     ServerChooser chooser_;
     PromptCacheIndex prompts_;
     DutyRunner duties_;
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -258,6 +258,7 @@
         receiveGroupReport(*heartbeat.value().group, now);
         for (const auto &pair : heartbeat.value().cached)
             prompts_.addFromGroup(pair, now);
+        quarantine_.receiveFromGroup(heartbeat.value().parts, now);
         return;
     }
     if (!peers_.receive(heartbeat.value(), now) || !peers_.inOwnGroup(id))
@@ -266,6 +267,7 @@
         prompts_.addFromPeer(pair, now);
     loads_.setPeerRequests(id, heartbeat.value().requests, now);
     stalls_.setPeerStalled(id, heartbeat.value().stalled, now);
+    quarantine_.receive(heartbeat.value().parts, now);
     if (!heartbeat.value().brief)
         health_.setPeerOutcomes(id, heartbeat.value().outcomes, now);
 }
@@ -282,17 +284,19 @@
 {
     auto outcomes = health_.outcomes(Clock::now());
     const bool brief = schedule_.nextIsBrief(outcomes) && scope == HeartbeatScope::OwnGroup;
-    const Heartbeat heartbeat{.brief = brief,
-                              .instance = self_,
-                              .incarnation = incarnation_,
-                              .sequence = ++heartbeatSequence_,
-                              .ready = ready(),
-                              .requests = loads_.own(),
-                              .outcomes = std::move(outcomes),
-                              .leaving = fleet_.announcedLeaving(),
-                              .cached = prompts_.takeUpdates(peers_.cachedPromptsPerHeartbeat()),
-                              .stalled = stalls_.ownStalled(Clock::now()),
-                              .wallTime = std::chrono::system_clock::now()};
+    const Heartbeat heartbeat{
+        .brief = brief,
+        .instance = self_,
+        .incarnation = incarnation_,
+        .sequence = ++heartbeatSequence_,
+        .ready = ready(),
+        .requests = loads_.own(),
+        .outcomes = std::move(outcomes),
+        .leaving = fleet_.announcedLeaving(),
+        .cached = prompts_.takeUpdates(peers_.cachedPromptsPerHeartbeat()),
+        .stalled = stalls_.ownStalled(Clock::now()),
+        .parts = quarantine_.takeReport(peers_.partEntriesPerHeartbeat(), !brief, Clock::now()),
+        .wallTime = std::chrono::system_clock::now()};
     const auto bytes = encodeHeartbeat(heartbeat);
     const bool everywhere = scope == HeartbeatScope::AllInstances;
     for (const auto &to : everywhere ? peers_.allDestinations() : peers_.destinations())
@@ -312,14 +316,15 @@
                        .outcomes = health_.ownGroup(now)};
     if (ready())
         report.ready.push_back(peerHash(self_.id));
-    const auto bytes =
-        encodeHeartbeat({.instance = self_,
-                         .incarnation = incarnation_,
-                         .sequence = ++heartbeatSequence_,
-                         .ready = ready(),
-                         .leaving = fleet_.announcedLeaving(),
-                         .cached = prompts_.takeGroupUpdates(peers_.cachedPromptsPerReport()),
-                         .group = std::move(report)});
+    const auto bytes = encodeHeartbeat(
+        {.instance = self_,
+         .incarnation = incarnation_,
+         .sequence = ++heartbeatSequence_,
+         .ready = ready(),
+         .leaving = fleet_.announcedLeaving(),
+         .cached = prompts_.takeGroupUpdates(peers_.cachedPromptsPerReport()),
+         .parts = quarantine_.takeGroupReport(peers_.partEntriesPerHeartbeat(), now),
+         .group = std::move(report)});
     for (const auto &to : destinations)
         heartbeats_->send(bytes, to);
 }
@@ -361,6 +366,8 @@
         for (const auto &peer : peers_.alive(now))
             live.insert(peer.id);
         liveCount_ = live.size();
+        quarantine_.setInstances(live);
+        quarantine_.setObjectionTime(peers_.responseTime());
         cold_.setInstances(std::move(live));
         chooser_.setReportAge(peers_.reportAge());
         std::set<ServerId> known;
@@ -376,12 +383,24 @@
     return state && loads_.total(server).inFlight > state->entry.slots;
 }
 
+void Gateway::updateQuarantine(TimePoint now)
+{
+    for (const auto &change : quarantine_.update(now)) {
+        if (change.quarantined)
+            logEvent(LogLevel::Warn, "prompt-part-quarantined",
+                     {{"part", change.part}, {"servers", change.servers}});
+        else
+            logEvent(LogLevel::Info, "prompt-part-cleared", {{"part", change.part}});
+    }
+}
+
 void Gateway::runStallChecks(StopToken &stop)
 {
     std::set<ServerId> known;
     while (stop.sleepFor(stallCheckPeriod)) {
         const auto now = Clock::now();
         stalls_.check(now);
+        updateQuarantine(now);
         const auto list = stalls_.ownStalled(now);
         std::set<ServerId> stalled(list.begin(), list.end());
         for (const auto &server : stalled) {
--- a/modules/jy_gateway/peers/HeartbeatCodec.cpp
+++ b/modules/jy_gateway/peers/HeartbeatCodec.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -29,6 +30,9 @@
 constexpr int maxStalled = 32;
 constexpr std::size_t stalledEntryBytes = 4;
 
+// Largest encoded size of an entry about a prompt part.
+constexpr std::size_t partEntryBytes = 20;
+
 // Space reserved for the fields other than lists of servers and prompts.
 constexpr std::size_t fixedBytes = 240;
 
@@ -103,6 +107,55 @@
     }
 }
 
+/** @returns a time as a number that the message can hold */
+std::uint32_t toMessageMs(std::chrono::milliseconds time)
+{
+    constexpr std::int64_t longest = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(time.count(), 0, longest));
+}
+
+void addParts(const PartReport &parts, wire::Beat &message)
+{
+    for (const auto &crash : parts.crashes) {
+        auto *entry = message.add_part_crashes();
+        entry->set_part(crash.part);
+        entry->set_server_hash(crash.server);
+        entry->set_response_begun(crash.evidence == CrashEvidence::ResponseBegun);
+        entry->set_age_ms(toMessageMs(crash.age));
+    }
+    for (const auto &quarantined : parts.quarantined) {
+        auto *entry = message.add_quarantined_parts();
+        entry->set_part(quarantined.part);
+        entry->set_probes(static_cast<std::uint32_t>(quarantined.probes));
+        entry->set_until_probe_ms(quarantined.untilProbe.count());
+    }
+    for (const auto &sound : parts.sound) {
+        auto *entry = message.add_sound_parts();
+        entry->set_part(sound.part);
+        entry->set_age_ms(toMessageMs(sound.age));
+    }
+}
+
+PartReport readParts(const wire::Beat &message)
+{
+    using std::chrono::milliseconds;
+    // Bounds the times in a malformed message.
+    constexpr std::int64_t longestMs = 3'600'000;
+    PartReport parts;
+    for (const auto &entry : message.part_crashes())
+        parts.crashes.push_back(
+            {entry.part(), entry.server_hash(),
+             entry.response_begun() ? CrashEvidence::ResponseBegun : CrashEvidence::BeforeResponse,
+             milliseconds(entry.age_ms())});
+    for (const auto &entry : message.quarantined_parts())
+        parts.quarantined.push_back(
+            {entry.part(), static_cast<int>(entry.probes()),
+             milliseconds(std::clamp(entry.until_probe_ms(), -longestMs, longestMs))});
+    for (const auto &entry : message.sound_parts())
+        parts.sound.push_back({entry.part(), milliseconds(entry.age_ms())});
+    return parts;
+}
+
 std::vector<ServerId> readStalled(const wire::Beat &message, const ServerByHash &findServer)
 {
     std::vector<ServerId> stalled;
@@ -291,11 +344,15 @@
     addLeaving(heartbeat.leaving, message);
     addCached(heartbeat.cached, message);
     addStalled(heartbeat.stalled, message);
+    addParts(heartbeat.parts, message);
     const auto availableBytes = remainingBytes(
         maxHeartbeatBytes,
         fixedBytes + static_cast<std::size_t>(message.leaving_size()) * leavingEntryBytes
             + heartbeat.cached.size() * packedEntryBytes
-            + static_cast<std::size_t>(message.stalled_size()) * stalledEntryBytes);
+            + static_cast<std::size_t>(message.stalled_size()) * stalledEntryBytes
+            + static_cast<std::size_t>(message.part_crashes_size() + message.sound_parts_size()
+                                       + message.quarantined_parts_size())
+                * partEntryBytes);
     if (heartbeat.brief || heartbeat.group) {
         message.set_brief(true);
         message.set_instance_hash(peerHash(heartbeat.instance.id));
@@ -357,6 +414,7 @@
     }
     heartbeat.cached = readCached(message, findServer);
     heartbeat.stalled = readStalled(message, findServer);
+    heartbeat.parts = readParts(message);
     return heartbeat;
 }
 
--- a/modules/jy_gateway/peers/PeerTable.cpp
+++ b/modules/jy_gateway/peers/PeerTable.cpp
@@ -21,15 +21,21 @@
 constexpr double cachedBytesInHeartbeats = 1000;
 constexpr double cachedBytesInReports = 500;
 
-/** @returns the number of cached prompts that each datagram may contain, at least one */
-std::size_t cachedPromptsPerDatagram(double bytesPerSecond, std::chrono::milliseconds period,
-                                     std::size_t receivers)
+// The same for each list of prompt parts that may crash servers.
+constexpr double partBytes = 500;
+
+// Encoded sizes of the entries.
+constexpr double cachedPromptBytes = 8;
+constexpr double partEntryBytes = 16;
+
+/** @returns the number of entries that each datagram may contain, at least one */
+std::size_t entriesPerDatagram(double entryBytes, double bytesPerSecond,
+                               std::chrono::milliseconds period, std::size_t receivers)
 {
-    constexpr double cachedPromptBytes = 8;
     const double bytes = bytesPerSecond * std::chrono::duration<double>(period).count();
-    const double prompts =
-        bytes / (cachedPromptBytes * static_cast<double>(std::max<std::size_t>(1, receivers)));
-    return std::max<std::size_t>(1, static_cast<std::size_t>(prompts));
+    const double entries =
+        bytes / (entryBytes * static_cast<double>(std::max<std::size_t>(1, receivers)));
+    return std::max<std::size_t>(1, static_cast<std::size_t>(entries));
 }
 
 /** Whether enough members of a group have sent heartbeats to treat the others as dead. */
@@ -67,13 +73,26 @@
 
 std::size_t PeerTable::cachedPromptsPerHeartbeat() const
 {
-    return cachedPromptsPerDatagram(cachedBytesInHeartbeats, period(), destinations().size());
+    return entriesPerDatagram(cachedPromptBytes, cachedBytesInHeartbeats, period(),
+                              destinations().size());
 }
 
 std::size_t PeerTable::cachedPromptsPerReport() const
 {
-    return cachedPromptsPerDatagram(cachedBytesInReports, heartbeatsPerReport * period(),
-                                    groups_ - 1);
+    return entriesPerDatagram(cachedPromptBytes, cachedBytesInReports,
+                              heartbeatsPerReport * period(), groups_ - 1);
+}
+
+std::size_t PeerTable::partEntriesPerHeartbeat() const
+{
+    return entriesPerDatagram(partEntryBytes, partBytes, period(), destinations().size());
+}
+
+std::chrono::milliseconds PeerTable::responseTime() const
+{
+    // The heartbeat, its response, and the delay of a loop.
+    constexpr std::chrono::milliseconds margin{100};
+    return 2 * period() + margin;
 }
 
 std::size_t PeerTable::groupSize() const
--- a/modules/jy_gateway/peers/PeerTable.h
+++ b/modules/jy_gateway/peers/PeerTable.h
@@ -2,6 +2,7 @@
 
 #include "jy_base/time/TimeTypes.h"
 #include "jy_gateway/duties/UsageMessage.h"
+#include "jy_gateway/limits/PromptQuarantine.h"
 #include "jy_gateway/model/FleetChange.h"
 #include "jy_gateway/placement/LoadTable.h"
 #include "jy_gateway/placement/PromptCacheIndex.h"
@@ -57,6 +58,9 @@
     /** Servers that do not respond, see StallDetector. */
     std::vector<ServerId> stalled;
 
+    /** Prompt parts that may crash servers, see PromptQuarantine. */
+    PartReport parts;
+
     /** Set in a report; the message then contains no state of the sender itself. */
     std::optional<GroupReport> group;
 
@@ -120,6 +124,12 @@
     /** Maximum number of cached prompts in a report to the other groups. */
     std::size_t cachedPromptsPerReport() const;
 
+    /** Maximum number of entries in each list about prompt parts of a heartbeat or report. */
+    std::size_t partEntriesPerHeartbeat() const;
+
+    /** Time in which an instance hears the response of the others to what it reports. */
+    std::chrono::milliseconds responseTime() const;
+
     /** Number of groups of the fleet, see PeerGroups; 1 if each instance sends heartbeats to every
      * other one. */
     std::size_t groupCount() const { return groups_; }
--- a/modules/jy_gateway/relay/RelayEnding.cpp
+++ b/modules/jy_gateway/relay/RelayEnding.cpp
@@ -48,6 +48,15 @@
     sendError({kind, std::string(toString(reason)), retryAfter(reason)});
 }
 
+void RelayExchange::refuseQuarantined(milliseconds retryAfter)
+{
+    if (outcome_.attempts > 0) {
+        giveUp();
+        return;
+    }
+    sendError({ErrorKind::PromptQuarantined, "a part of the prompt crashes servers", retryAfter});
+}
+
 void RelayExchange::giveUp()
 {
     if (!serverFailure_ || responder_.started()) {
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -77,6 +77,10 @@
 {
     relay_.budgetFor(query_.service).recordAttempt(start_);
     while (true) {
+        if (const auto wait = relay_.dependencies_.quarantine.check(parts_, Clock::now())) {
+            refuseQuarantined(*wait);
+            break;
+        }
         const auto placement =
             relay_.dependencies_.chooser.choose(query_, relay_.draw(), Clock::now());
         if (placement.server.empty()) {
@@ -256,7 +260,14 @@
 
 void RelayExchange::noteBroken(const ServerId &server, BreakPoint point)
 {
-    if (!relay_.failedLines_.allow(Clock::now()))
+    const auto now = Clock::now();
+    if (point != BreakPoint::InBody)
+        relay_.dependencies_.quarantine.connectionEnded(parts_, server,
+                                                        point == BreakPoint::AfterHead
+                                                            ? CrashEvidence::ResponseBegun
+                                                            : CrashEvidence::BeforeResponse,
+                                                        now);
+    if (!relay_.failedLines_.allow(now))
         return;
     constexpr std::array names = {"before-head", "after-head", "in-body"};
     logEvent(LogLevel::Info, "attempt-broken",
@@ -264,7 +275,7 @@
               {"server", server},
               {"attempt", outcome_.attempts},
               {"point", names[static_cast<std::size_t>(point)]},
-              {"after_ms", Clock::now() - attemptStart_},
+              {"after_ms", now - attemptStart_},
               {"parts", absl::StrJoin(parts_, ",")}});
 }
 
@@ -354,7 +365,10 @@
 {
     const bool failed = response.status >= 500;
     outcome_.firstPart = Clock::now() - start_;
-    record(server, failed ? ServerOutcome::Failed : ServerOutcome::Succeeded);
+    if (response.status / 100 == 2)
+        recordCompleted(server);
+    else
+        record(server, failed ? ServerOutcome::Failed : ServerOutcome::Succeeded);
     if (failed && route_.repeatable()) {
         mayHaveRun_ = true;
         serverFailure_ = std::move(response);
@@ -389,7 +403,7 @@
     }
     if (!part)
         return fail(part.error(), server);
-    record(server, ServerOutcome::Succeeded);
+    recordCompleted(server);
     responder_.endStream();
     outcome_.reason = "answered";
     return Step::Done;
@@ -461,13 +475,19 @@
         events_.dropRemainder();
         return fail({ErrorKind::BackendBroken, "the stream ended within an event"}, server);
     }
-    record(server, ServerOutcome::Succeeded);
+    recordCompleted(server);
     if (startResponse(stream))
         responder_.endStream();
     outcome_.reason = "answered";
     return Step::Done;
 }
 
+void RelayExchange::recordCompleted(const ServerId &server)
+{
+    record(server, ServerOutcome::Succeeded);
+    relay_.dependencies_.quarantine.responseCompleted(parts_, Clock::now());
+}
+
 void RelayExchange::recordWait()
 {
     relay_.waits_.add(route_.name, std::chrono::ceil<milliseconds>(Clock::now() - attemptStart_));
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -62,7 +62,7 @@
         InBody,
     };
 
-    /** Logs that the server ended the connection of the current attempt. */
+    /** Records that the server ended the connection of the current attempt. */
     void noteBroken(const ServerId &server, BreakPoint point);
     Step callerLeft();
     HttpRequest outgoing(const ServerState &server, const ServerId &cachedAt) const;
@@ -70,10 +70,16 @@
 
     bool mayTryAgain(Step step);
     void refuse(PlacementReason reason);
+
+    /** Refuses a request with a prompt part that crashes servers. */
+    void refuseQuarantined(std::chrono::milliseconds retryAfter);
     void giveUp();
     void sendError(const Error &error);
     void record(const ServerId &server, ServerOutcome outcome);
 
+    /** Records a complete response with a success. */
+    void recordCompleted(const ServerId &server);
+
     /** Reports once for each attempt that its server began to run it at @p time. */
     void noteBegan(TimePoint time);
     void recordWait();
--- a/modules/jy_gateway/relay/RequestRelay.h
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -2,6 +2,7 @@
 
 #include "jy_core/limits/RetryBudget.h"
 #include "jy_gateway/adapter/CallerProtocol.h"
+#include "jy_gateway/limits/PromptQuarantine.h"
 #include "jy_gateway/placement/ServerChooser.h"
 #include "jy_gateway/relay/LogRateLimiter.h"
 #include "jy_gateway/relay/RouteWaits.h"
@@ -84,6 +85,7 @@
     ServerChooser &chooser;
     PromptCacheIndex &prompts;
     StallDetector &stalls;
+    PromptQuarantine &quarantine;
     const CallerProtocol &protocol;
     Metrics &metrics;
 
--- a/tests/jy_gateway/RelayFixture.h
+++ b/tests/jy_gateway/RelayFixture.h
@@ -73,6 +73,7 @@
                   .chooser = chooser_,
                   .prompts = prompts_,
                   .stalls = stalls,
+                  .quarantine = quarantine_,
                   .protocol = protocol_,
                   .metrics = metrics_,
                   .bodyBudget = budget,
@@ -160,6 +161,7 @@
     ServerHealth health_;
     ServerBackoff backoff_;
     ColdAllowance cold_;
+    PromptQuarantine quarantine_{InstanceId("self")};
     ServerChooser chooser_;
     PromptCacheIndex prompts_;
     CallerProtocol protocol_;
