--- a/modules/jy_gateway/adapter/CallerProtocol.h
+++ b/modules/jy_gateway/adapter/CallerProtocol.h
@@ -95,6 +95,10 @@
     /** Time for which the refusing server asks this instance to send it nothing. */
     std::optional<std::chrono::milliseconds> retryAfter;
 
+    /** Requests per second that the server takes from all instances together while its responses
+     * say so. */
+    std::optional<double> requestLimit;
+
     bool eventStream = false;
     std::optional<ServerLoad> load;
     std::optional<std::chrono::milliseconds> coldLeft;
--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -131,6 +131,7 @@
               .prompts = prompts_,
               .stalls = stalls_,
               .quarantine = quarantine_,
+              .rateLimits = rateLimits_,
               .protocol = adapter_.protocol,
               .metrics = metrics_,
               .bodyBudget = bodyBudget_,
--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -154,6 +154,7 @@
     StallDetector stalls_;
     ColdAllowance cold_;
     PromptQuarantine quarantine_;
+    ServerRateLimits rateLimits_;
     ServerChooser chooser_;
     PromptCacheIndex prompts_;
     DutyRunner duties_;
--- a/modules/jy_gateway/jy_gateway.h
+++ b/modules/jy_gateway/jy_gateway.h
@@ -18,6 +18,7 @@
 #include "jy_gateway/duties/UsageTable.h"
 #include "jy_gateway/limits/ColdAllowance.h"
 #include "jy_gateway/limits/PromptQuarantine.h"
+#include "jy_gateway/limits/ServerRateLimits.h"
 #include "jy_gateway/model/FleetChange.h"
 #include "jy_gateway/model/RoutingConfig.h"
 #include "jy_gateway/peers/FleetClock.h"
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -298,6 +298,11 @@
     if (metadata.leaving && dependencies.fleet.markServerLeaving(server.id, server.startTimeMs))
         logEvent(LogLevel::Info, "server-leaving",
                  {{"server", server.id}, {"request", metadata_.id}});
+    if (dependencies.rateLimits.observe(server.id, metadata.requestLimit, now))
+        logEvent(LogLevel::Info, metadata.requestLimit ? "server-limited" : "server-unlimited",
+                 {{"server", server.id},
+                  {"request", metadata_.id},
+                  {"per_second", metadata.requestLimit.value_or(0)}});
     if (metadata.retryAfter) {
         const bool known = dependencies.backoff.until(server.id, now).has_value();
         dependencies.backoff.begin(server.id, *metadata.retryAfter, now);
--- a/modules/jy_gateway/relay/RequestRelay.h
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -3,6 +3,7 @@
 #include "jy_core/limits/RetryBudget.h"
 #include "jy_gateway/adapter/CallerProtocol.h"
 #include "jy_gateway/limits/PromptQuarantine.h"
+#include "jy_gateway/limits/ServerRateLimits.h"
 #include "jy_gateway/placement/ServerChooser.h"
 #include "jy_gateway/relay/LogRateLimiter.h"
 #include "jy_gateway/relay/RouteWaits.h"
@@ -86,6 +87,7 @@
     PromptCacheIndex &prompts;
     StallDetector &stalls;
     PromptQuarantine &quarantine;
+    ServerRateLimits &rateLimits;
     const CallerProtocol &protocol;
     Metrics &metrics;
 
--- a/tests/jy_gateway/RelayFixture.h
+++ b/tests/jy_gateway/RelayFixture.h
@@ -74,6 +74,7 @@
                   .prompts = prompts_,
                   .stalls = stalls,
                   .quarantine = quarantine_,
+                  .rateLimits = rateLimits_,
                   .protocol = protocol_,
                   .metrics = metrics_,
                   .bodyBudget = budget,
@@ -162,6 +163,7 @@
     ServerBackoff backoff_;
     ColdAllowance cold_;
     PromptQuarantine quarantine_{InstanceId("self")};
+    ServerRateLimits rateLimits_;
     ServerChooser chooser_;
     PromptCacheIndex prompts_;
     CallerProtocol protocol_;
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -213,6 +213,18 @@
                     RetryAfterCase{"OfASuccess", 200, "3", std::nullopt}),
     [](const auto &info) { return std::string(info.param.name); });
 
+TEST(CallerCodecTest, LimitIsANumberOfRequests)
+{
+    const auto protocol = createCallerProtocol();
+    const auto limit = [&](std::string text) {
+        return protocol.readResponseMetadata(200, {{"Server-Limit", std::move(text)}}).requestLimit;
+    };
+    EXPECT_EQ(limit("2.8"), 2.8);
+    EXPECT_EQ(limit("0"), 0);
+    for (const char *malformed : {"", "x", "-1", "nan", "inf", "2,8"})
+        EXPECT_FALSE(limit(malformed)) << malformed;
+}
+
 TEST(CallerCodecTest, LeavingRequiresTheValueOne)
 {
     const auto protocol = createCallerProtocol();
