--- a/tests/jy_gateway/InstanceFixture.h
+++ b/tests/jy_gateway/InstanceFixture.h
@@ -2,6 +2,7 @@
 
 #include "FleetFixture.h"
 
+#include "jy_gateway/limits/ServerRateLimits.h"
 #include "jy_gateway/placement/ServerChooser.h"
 
 #include <string>
@@ -38,6 +39,7 @@
     ServerBackoff backoff;
     StallDetector stalls{[](const ServerId &) { return false; }};
     ColdAllowance cold;
+    ServerRateLimits rateLimits;
     ServerChooser chooser;
 };
 
