Keep the limits that servers name, all instances together

Cause: the limit was read by nobody, and placement by prompt went on. Class of fault: back-pressure that is ignored, and a shared limit without a divider. Ruled out by the lines server-limited: unknown limits (all instances know each within 5 s), repeats.

Instances tell each other of limits. Servers with a limit get prompts that no other server has; others go to the next server in rank without a limit, with a copy from the limited one. Without any server the request is refused at once with the time of the next free request.

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -110,7 +110,8 @@
     , stalls_([this](const ServerId &server) { return isFull(server); })
     , cold_(self_.id)
     , quarantine_(self_.id)
-    , chooser_(fleet_, loads_, health_, backoff_, stalls_, cold_)
+    , rateLimits_(self_.id)
+    , chooser_(fleet_, loads_, health_, backoff_, stalls_, cold_, rateLimits_)
     , duties_({.store = store_,
                .api = adapter_.openDutyApi(*dutyClient_, settings_.duties.address,
                                            dutySettings().lease.callTimeout()),
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -113,6 +113,15 @@
     }
 };
 
+void logLimit(const ServerLimitReport &limit, const InstanceId &reportedBy, bool changed)
+{
+    if (changed)
+        logEvent(LogLevel::Info, limit.perSecond ? "server-limited" : "server-unlimited",
+                 {{"server", limit.server},
+                  {"reported_by", reportedBy},
+                  {"per_second", limit.perSecond.value_or(0)}});
+}
+
 } // namespace
 
 void Gateway::merge(const StoreItem &item)
@@ -259,6 +268,8 @@
         for (const auto &pair : heartbeat.value().cached)
             prompts_.addFromGroup(pair, now);
         quarantine_.receiveFromGroup(heartbeat.value().parts, now);
+        for (const auto &limit : heartbeat.value().serverLimits)
+            logLimit(limit, id, rateLimits_.receiveFromGroup(limit, now));
         return;
     }
     if (!peers_.receive(heartbeat.value(), now) || !peers_.inOwnGroup(id))
@@ -268,6 +279,8 @@
     loads_.setPeerRequests(id, heartbeat.value().requests, now);
     stalls_.setPeerStalled(id, heartbeat.value().stalled, now);
     quarantine_.receive(heartbeat.value().parts, now);
+    for (const auto &limit : heartbeat.value().serverLimits)
+        logLimit(limit, id, rateLimits_.receive(limit, now));
     if (!heartbeat.value().brief)
         health_.setPeerOutcomes(id, heartbeat.value().outcomes, now);
 }
@@ -295,7 +308,8 @@
         .leaving = fleet_.announcedLeaving(),
         .cached = prompts_.takeUpdates(peers_.cachedPromptsPerHeartbeat()),
         .stalled = stalls_.ownStalled(Clock::now()),
-        .parts = quarantine_.takeReport(peers_.partEntriesPerHeartbeat(), !brief, Clock::now()),
+        .parts = quarantine_.takeReport(peers_.limitEntriesPerHeartbeat(), !brief, Clock::now()),
+        .serverLimits = rateLimits_.takeReports(peers_.limitEntriesPerHeartbeat()),
         .wallTime = std::chrono::system_clock::now()};
     const auto bytes = encodeHeartbeat(heartbeat);
     const bool everywhere = scope == HeartbeatScope::AllInstances;
@@ -323,7 +337,8 @@
          .ready = ready(),
          .leaving = fleet_.announcedLeaving(),
          .cached = prompts_.takeGroupUpdates(peers_.cachedPromptsPerReport()),
-         .parts = quarantine_.takeGroupReport(peers_.partEntriesPerHeartbeat(), now),
+         .parts = quarantine_.takeGroupReport(peers_.limitEntriesPerHeartbeat(), now),
+         .serverLimits = rateLimits_.takeGroupReports(peers_.limitEntriesPerHeartbeat()),
          .group = std::move(report)});
     for (const auto &to : destinations)
         heartbeats_->send(bytes, to);
@@ -368,12 +383,14 @@
         liveCount_ = live.size();
         quarantine_.setInstances(live);
         quarantine_.setObjectionTime(peers_.responseTime());
+        rateLimits_.setInstances(live);
         cold_.setInstances(std::move(live));
         chooser_.setReportAge(peers_.reportAge());
         std::set<ServerId> known;
         for (const auto &[id, state] : fleet_.servers())
             known.insert(id);
         cold_.retain(known);
+        rateLimits_.retain(known);
     }
 }
 
--- a/modules/jy_gateway/jy_gateway.h
+++ b/modules/jy_gateway/jy_gateway.h
@@ -19,6 +19,7 @@
 #include "jy_gateway/limits/ColdAllowance.h"
 #include "jy_gateway/limits/PromptQuarantine.h"
 #include "jy_gateway/limits/ServerRateLimits.h"
+#include "jy_gateway/limits/SharedAllowance.h"
 #include "jy_gateway/model/FleetChange.h"
 #include "jy_gateway/model/RoutingConfig.h"
 #include "jy_gateway/peers/FleetClock.h"
--- a/modules/jy_gateway/limits/ColdAllowance.h
+++ b/modules/jy_gateway/limits/ColdAllowance.h
@@ -1,21 +1,16 @@
 #pragma once
 
-#include "jy_base/ids/Ids.h"
-#include "jy_base/time/TimeTypes.h"
+#include "jy_gateway/limits/SharedAllowance.h"
 
 #include <cstddef>
-#include <map>
 #include <set>
-#include <vector>
+#include <utility>
 
 namespace jy {
 
 /**
- * Rate limit for the requests of this instance to cold backend servers.
- *
- * A few of the live instances, chosen by rendezvous hashing of the server, share the request rate
- * that one cold server tolerates; the others send it nothing. Shares are not transferred, so an
- * instance that hangs or is disconnected cannot use more than its own.
+ * Rate limit for the requests of this instance to cold backend servers, of which it has a share,
+ * see SharedAllowance.
  */
 class ColdAllowance
 {
@@ -28,34 +23,25 @@
      * disagree on which of them are live. */
     static constexpr double usableShare = 0.7;
 
-    explicit ColdAllowance(InstanceId self);
+    explicit ColdAllowance(InstanceId self)
+        : allowance_(std::move(self))
+    { }
 
     /** Sets the live instances, including this one. */
-    void setInstances(std::set<InstanceId> live) { live_ = std::move(live); }
+    void setInstances(std::set<InstanceId> live) { allowance_.setInstances(std::move(live)); }
 
     /** Whether a request may be sent now. @param ratePerSecond rate that the server tolerates from
      * all instances together */
     bool available(const ServerId &server, double ratePerSecond, TimePoint now);
 
     /** Counts a request that is sent. */
-    void spend(const ServerId &server, TimePoint now);
+    void spend(const ServerId &server, TimePoint now) { allowance_.spend(server, now); }
 
     /** Drops the servers that are not in @p known. */
-    void retain(const std::set<ServerId> &known);
+    void retain(const std::set<ServerId> &known) { allowance_.retain(known); }
 
 private:
-    struct Bucket
-    {
-        double tokens = 1;
-        TimePoint filled;
-    };
-
-    /** Whether this instance is one of the @p sharers instances that may send to the server. */
-    bool hasShare(const ServerId &server, std::size_t sharers) const;
-
-    InstanceId self_;
-    std::set<InstanceId> live_;
-    std::map<ServerId, Bucket> buckets_;
+    SharedAllowance allowance_;
 };
 
 } // namespace jy
--- a/modules/jy_gateway/peers/HeartbeatCodec.cpp
+++ b/modules/jy_gateway/peers/HeartbeatCodec.cpp
@@ -30,13 +30,14 @@
 constexpr int maxStalled = 32;
 constexpr std::size_t stalledEntryBytes = 4;
 
-// Largest encoded size of an entry about a prompt part.
-constexpr std::size_t partEntryBytes = 20;
+// Largest encoded size of an entry about a prompt part or the limit of a server.
+constexpr std::size_t limitEntryBytes = 20;
 
 // Space reserved for the fields other than lists of servers and prompts.
 constexpr std::size_t fixedBytes = 240;
 
 constexpr double tenths = 10;
+constexpr double thousandths = 1000;
 
 // Width of each half of an encoded cached prompt: the prefix key and the server hash.
 constexpr int hashBits = 32;
@@ -156,6 +157,33 @@
     return parts;
 }
 
+void addServerLimits(const std::vector<ServerLimitReport> &limits, wire::Beat &message)
+{
+    constexpr double largest = std::numeric_limits<std::uint32_t>::max();
+    for (const auto &limit : limits) {
+        auto *entry = message.add_server_limits();
+        entry->set_server_hash(serverHash(limit.server));
+        entry->set_ended(!limit.perSecond);
+        entry->set_limit_thousandths(static_cast<std::uint32_t>(
+            std::clamp(limit.perSecond.value_or(0) * thousandths, 0.0, largest)));
+    }
+}
+
+std::vector<ServerLimitReport> readServerLimits(const wire::Beat &message,
+                                                const ServerByHash &findServer)
+{
+    std::vector<ServerLimitReport> limits;
+    for (const auto &entry : message.server_limits()) {
+        const auto *server = findServer(entry.server_hash());
+        if (!server)
+            continue;
+        limits.push_back({*server, std::nullopt});
+        if (!entry.ended())
+            limits.back().perSecond = entry.limit_thousandths() / thousandths;
+    }
+    return limits;
+}
+
 std::vector<ServerId> readStalled(const wire::Beat &message, const ServerByHash &findServer)
 {
     std::vector<ServerId> stalled;
@@ -345,14 +373,16 @@
     addCached(heartbeat.cached, message);
     addStalled(heartbeat.stalled, message);
     addParts(heartbeat.parts, message);
+    addServerLimits(heartbeat.serverLimits, message);
     const auto availableBytes = remainingBytes(
         maxHeartbeatBytes,
         fixedBytes + static_cast<std::size_t>(message.leaving_size()) * leavingEntryBytes
             + heartbeat.cached.size() * packedEntryBytes
             + static_cast<std::size_t>(message.stalled_size()) * stalledEntryBytes
             + static_cast<std::size_t>(message.part_crashes_size() + message.sound_parts_size()
-                                       + message.quarantined_parts_size())
-                * partEntryBytes);
+                                       + message.quarantined_parts_size()
+                                       + message.server_limits_size())
+                * limitEntryBytes);
     if (heartbeat.brief || heartbeat.group) {
         message.set_brief(true);
         message.set_instance_hash(peerHash(heartbeat.instance.id));
@@ -415,6 +445,7 @@
     heartbeat.cached = readCached(message, findServer);
     heartbeat.stalled = readStalled(message, findServer);
     heartbeat.parts = readParts(message);
+    heartbeat.serverLimits = readServerLimits(message, findServer);
     return heartbeat;
 }
 
--- a/modules/jy_gateway/peers/PeerTable.cpp
+++ b/modules/jy_gateway/peers/PeerTable.cpp
@@ -21,12 +21,12 @@
 constexpr double cachedBytesInHeartbeats = 1000;
 constexpr double cachedBytesInReports = 500;
 
-// The same for each list of prompt parts that may crash servers.
-constexpr double partBytes = 500;
+// The same for each list of prompt parts that may crash servers, and of limits of servers.
+constexpr double limitBytes = 500;
 
 // Encoded sizes of the entries.
 constexpr double cachedPromptBytes = 8;
-constexpr double partEntryBytes = 16;
+constexpr double limitEntryBytes = 16;
 
 /** @returns the number of entries that each datagram may contain, at least one */
 std::size_t entriesPerDatagram(double entryBytes, double bytesPerSecond,
@@ -83,9 +83,9 @@
                               heartbeatsPerReport * period(), groups_ - 1);
 }
 
-std::size_t PeerTable::partEntriesPerHeartbeat() const
+std::size_t PeerTable::limitEntriesPerHeartbeat() const
 {
-    return entriesPerDatagram(partEntryBytes, partBytes, period(), destinations().size());
+    return entriesPerDatagram(limitEntryBytes, limitBytes, period(), destinations().size());
 }
 
 std::chrono::milliseconds PeerTable::responseTime() const
--- a/modules/jy_gateway/peers/PeerTable.h
+++ b/modules/jy_gateway/peers/PeerTable.h
@@ -3,6 +3,7 @@
 #include "jy_base/time/TimeTypes.h"
 #include "jy_gateway/duties/UsageMessage.h"
 #include "jy_gateway/limits/PromptQuarantine.h"
+#include "jy_gateway/limits/ServerRateLimits.h"
 #include "jy_gateway/model/FleetChange.h"
 #include "jy_gateway/placement/LoadTable.h"
 #include "jy_gateway/placement/PromptCacheIndex.h"
@@ -61,6 +62,9 @@
     /** Prompt parts that may crash servers, see PromptQuarantine. */
     PartReport parts;
 
+    /** Limits that servers named or ended, see ServerRateLimits. */
+    std::vector<ServerLimitReport> serverLimits;
+
     /** Set in a report; the message then contains no state of the sender itself. */
     std::optional<GroupReport> group;
 
@@ -124,8 +128,9 @@
     /** Maximum number of cached prompts in a report to the other groups. */
     std::size_t cachedPromptsPerReport() const;
 
-    /** Maximum number of entries in each list about prompt parts of a heartbeat or report. */
-    std::size_t partEntriesPerHeartbeat() const;
+    /** Maximum number of entries in each list of a heartbeat or report about prompt parts and
+     * limits of servers. */
+    std::size_t limitEntriesPerHeartbeat() const;
 
     /** Time in which an instance hears the response of the others to what it reports. */
     std::chrono::milliseconds responseTime() const;
--- a/modules/jy_gateway/placement/ServerChooser.cpp
+++ b/modules/jy_gateway/placement/ServerChooser.cpp
@@ -3,6 +3,7 @@
 #include "jy_base/hashing/StableHash.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace jy {
 
@@ -42,13 +43,15 @@
 
 ServerChooser::ServerChooser(const FleetView &fleet, const LoadTable &loads,
                              const ServerHealth &health, const ServerBackoff &backoff,
-                             const StallDetector &stalls, ColdAllowance &cold)
+                             const StallDetector &stalls, ColdAllowance &cold,
+                             ServerRateLimits &rateLimits)
     : fleet_(fleet)
     , loads_(loads)
     , health_(health)
     , backoff_(backoff)
     , stalls_(stalls)
     , cold_(cold)
+    , rateLimits_(rateLimits)
 { }
 
 Placement ServerChooser::choose(const PlacementQuery &query, double draw, TimePoint now)
@@ -57,7 +60,7 @@
     auto candidates = findCandidates(query, now, result);
     if (candidates.empty())
         return result;
-    auto chosen = query.affinity != 0 ? chooseByPrefix(candidates, query)
+    auto chosen = query.affinity != 0 ? chooseByPrefix(candidates, query, now)
                                       : chooseLeastLoaded(candidates, draw);
     chosen.candidates = candidates.size();
     if (isCopyFaster(query))
@@ -65,6 +68,7 @@
     const auto *server = fleet_.findServer(chosen.server);
     if (server && server->coldUntil > now)
         cold_.spend(chosen.server, now);
+    rateLimits_.spend(chosen.server, now);
     return chosen;
 }
 
@@ -80,6 +84,8 @@
     bool backingOff = false;
     bool coldSpent = false;
     bool full = false;
+    bool limited = false;
+    std::optional<TimePoint> limitedUntil;
     for (std::size_t i = 0; i < available.size(); ++i) {
         const auto *server = available[i];
         const auto &id = server->entry.id;
@@ -103,10 +109,17 @@
             full = true;
             continue;
         }
+        if (!rateLimits_.available(id, now)) {
+            limited = true;
+            if (const auto next = rateLimits_.nextAt(id))
+                limitedUntil = std::min(limitedUntil.value_or(*next), *next);
+            continue;
+        }
         const double excess = failureRates[i] - usualRate - toleratedExcessRate;
         candidate.penalty = std::max(0.0, excess) * penaltyScale;
         candidate.rank = rendezvousScore(query.affinity, id.value());
         candidate.hasCachedPrefix = holdsPrefix(*server, query);
+        candidate.limited = rateLimits_.limitOf(id, now).has_value();
         const bool silent = health_.isExcluded(id, now) || stalls_.isStalled(id, now);
         (silent ? lastResort : all).push_back(candidate);
     }
@@ -118,18 +131,26 @@
         result.reason = PlacementReason::AllFull;
     else if (backingOff)
         result.reason = PlacementReason::AllBackingOff;
-    else
+    else if (limited) {
+        result.reason = PlacementReason::AllLimited;
+        if (limitedUntil)
+            result.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(*limitedUntil - now);
+    } else
         result.reason = coldSpent ? PlacementReason::AllCold : PlacementReason::AllTried;
     return all;
 }
 
-double ServerChooser::meanLoad(const ServiceId &service) const
+double ServerChooser::meanLoad(const ServiceId &service, TimePoint now) const
 {
-    const auto servers = fleet_.serversOf(service);
     int total = 1;
-    for (const auto *server : servers)
+    std::size_t count = 0;
+    for (const auto *server : fleet_.serversOf(service)) {
+        if (rateLimits_.limitOf(server->entry.id, now))
+            continue;
         total += loads_.total(server->entry.id).inFlight;
-    return total / static_cast<double>(std::max<std::size_t>(1, servers.size()));
+        ++count;
+    }
+    return total / static_cast<double>(std::max<std::size_t>(1, count));
 }
 
 std::optional<TimePoint> ServerChooser::allBackingOffUntil(const ServiceId &service,
@@ -166,19 +187,21 @@
 void ServerChooser::rank(std::vector<Candidate> &candidates, bool homeFirst)
 {
     std::ranges::sort(candidates, std::ranges::greater(), [](const Candidate &candidate) {
-        return std::pair(candidate.hasCachedPrefix, candidate.rank);
+        return std::tuple(candidate.hasCachedPrefix, !candidate.limited, candidate.rank);
     });
     if (!homeFirst)
         return;
-    const auto home = std::ranges::max_element(candidates, {}, &Candidate::rank);
+    const auto home = std::ranges::max_element(candidates, {}, [](const Candidate &candidate) {
+        return std::pair(candidate.hasCachedPrefix || !candidate.limited, candidate.rank);
+    });
     std::rotate(candidates.begin(), home, home + 1);
 }
 
 Placement ServerChooser::chooseByPrefix(std::vector<Candidate> &candidates,
-                                        const PlacementQuery &query) const
+                                        const PlacementQuery &query, TimePoint now) const
 {
     rank(candidates, isCopyFaster(query));
-    const double bound = spillBound(meanLoad(query.service));
+    const double bound = spillBound(meanLoad(query.service, now));
     for (const auto &candidate : candidates) {
         if (candidate.load + candidate.penalty + 1 > bound || candidate.waiting >= maxWaiting)
             continue;
@@ -231,6 +254,17 @@
                                   .rank = rendezvousScore(query.affinity, server->entry.id.value()),
                                   .hasCachedPrefix = holdsPrefix(*server, query)});
     }
+    // A limit is on requests of callers, so a server that has used it up can still be copied from.
+    for (const auto &holder : query.holders) {
+        const auto *server = fleet_.findServer(holder.server);
+        const bool isCandidate = std::ranges::any_of(
+            candidates, [&](const Candidate &candidate) { return candidate.server == server; });
+        if (server && !isCandidate && !query.tried.contains(holder.server)
+            && fleet_.isEligible(*server, now) && rateLimits_.limitOf(holder.server, now))
+            candidates.push_back({.server = server,
+                                  .rank = rendezvousScore(query.affinity, holder.server.value()),
+                                  .hasCachedPrefix = holdsPrefix(*server, query)});
+    }
     rank(candidates, true);
     const auto *chosen = fleet_.findServer(placement.server);
     if (!chosen || holdsPrefix(*chosen, query))
@@ -309,6 +343,8 @@
         return "all-cold";
     case PlacementReason::AllFull:
         return "all-full";
+    case PlacementReason::AllLimited:
+        return "all-limited";
     case PlacementReason::AllBackingOff:
         return "all-backing-off";
     }
--- a/modules/jy_gateway/placement/ServerChooser.h
+++ b/modules/jy_gateway/placement/ServerChooser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jy_gateway/limits/ColdAllowance.h"
+#include "jy_gateway/limits/ServerRateLimits.h"
 #include "jy_gateway/placement/LoadTable.h"
 #include "jy_gateway/placement/PromptCacheIndex.h"
 #include "jy_gateway/placement/ServerBackoff.h"
@@ -43,6 +44,7 @@
     AllTried,
     AllCold, /**< the remaining servers are cold and their allowance is used up */
     AllFull,
+    AllLimited, /**< this instance has used up its share of the limits that servers named */
     AllBackingOff, /**< all refused requests with a Retry-After time that has not passed */
 };
 
@@ -60,6 +62,9 @@
     /** Requests in flight at the chosen server before this one. */
     int load = 0;
 
+    /** Time after which a request that gets no server may find one; 0 if not known. */
+    std::chrono::milliseconds retryAfter{0};
+
     /** Number of servers that were eligible. */
     std::size_t candidates = 0;
 };
@@ -110,7 +115,8 @@
     static constexpr double prefillTokensPerMs = 45;
 
     ServerChooser(const FleetView &fleet, const LoadTable &loads, const ServerHealth &health,
-                  const ServerBackoff &backoff, const StallDetector &stalls, ColdAllowance &cold);
+                  const ServerBackoff &backoff, const StallDetector &stalls, ColdAllowance &cold,
+                  ServerRateLimits &rateLimits);
 
     /**
      * Sets the age of the reports of other instances. The older they are, the earlier prompts
@@ -137,11 +143,15 @@
 
         /** The server is known to have the shared prefix cached. */
         bool hasCachedPrefix = false;
+
+        /** The server named a limit, of which this instance has a request left. */
+        bool limited = false;
     };
 
-    /** Mean over all servers of the service, including the new request. Cold and evacuated servers
-     * count too, because the load bound is relative to all servers. */
-    double meanLoad(const ServiceId &service) const;
+    /** Mean over all servers of the service without a limit of their own, including the new
+     * request. Cold and evacuated servers count too, because the load bound is relative to all
+     * servers. */
+    double meanLoad(const ServiceId &service, TimePoint now) const;
 
     /** Finds the servers that may get the request now. @param result gets the reason if there are
      * none */
@@ -150,8 +160,10 @@
     /** @returns the failure rates in the order of @p servers */
     std::vector<double> failureRates(const std::vector<const ServerState *> &servers,
                                      TimePoint now) const;
-    Placement chooseByPrefix(std::vector<Candidate> &candidates, const PlacementQuery &query) const;
-    /** Sets Placement::copySource; adds the servers that are leaving to @p candidates. */
+    Placement chooseByPrefix(std::vector<Candidate> &candidates, const PlacementQuery &query,
+                             TimePoint now) const;
+    /** Sets Placement::copySource; adds the servers that are leaving, and those that have the
+     * prefix but may get no request now because of their limit, to @p candidates. */
     void findCopySource(std::vector<Candidate> &candidates, const PlacementQuery &query,
                         TimePoint now, Placement &placement) const;
     /** Finds a server that is known to have the prefix, preferably in the same failure domain
@@ -159,7 +171,9 @@
     static const Candidate *nearestHolder(const std::vector<Candidate> &candidates,
                                           const DomainId &domain);
     /**
-     * Sorts by how likely a server is to have the prefix cached, the most likely first.
+     * Sorts by how likely a server is to have the prefix cached, the most likely first. Servers
+     * with a limit come after others that have the prefix, and last if they lack it: what they may
+     * get is for prefixes that no other server has.
      *
      * @param homeFirst the home comes before servers that are known to have the prefix: it can copy
      *        the prefix, and it is still known after all instances have restarted.
@@ -178,6 +192,7 @@
     const ServerBackoff &backoff_;
     const StallDetector &stalls_;
     ColdAllowance &cold_;
+    ServerRateLimits &rateLimits_;
     std::chrono::milliseconds reportAge_{0};
 };
 
--- a/modules/jy_gateway/relay/RelayEnding.cpp
+++ b/modules/jy_gateway/relay/RelayEnding.cpp
@@ -38,14 +38,17 @@
     return false;
 }
 
-void RelayExchange::refuse(PlacementReason reason)
+void RelayExchange::refuse(const Placement &placement)
 {
     if (outcome_.attempts > 0) {
         giveUp();
         return;
     }
+    const auto reason = placement.reason;
     const auto kind = reason == PlacementReason::AllCold ? ErrorKind::Cold : ErrorKind::NoCapacity;
-    sendError({kind, std::string(toString(reason)), retryAfter(reason)});
+    const bool known = placement.retryAfter.count() > 0;
+    sendError(
+        {kind, std::string(toString(reason)), known ? placement.retryAfter : retryAfter(reason)});
 }
 
 void RelayExchange::refuseQuarantined(milliseconds retryAfter)
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -85,7 +85,7 @@
             relay_.dependencies_.chooser.choose(query_, relay_.draw(), Clock::now());
         if (placement.server.empty()) {
             outcome_.placement = placement.reason;
-            refuse(placement.reason);
+            refuse(placement);
             break;
         }
         const auto step = attempt(placement);
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -69,7 +69,7 @@
     bool startResponse(const HttpStream &stream);
 
     bool mayTryAgain(Step step);
-    void refuse(PlacementReason reason);
+    void refuse(const Placement &placement);
 
     /** Refuses a request with a prompt part that crashes servers. */
     void refuseQuarantined(std::chrono::milliseconds retryAfter);
--- a/tests/jy_gateway/InstanceFixture.h
+++ b/tests/jy_gateway/InstanceFixture.h
@@ -16,7 +16,8 @@
 {
     explicit Instance(const std::string &id = "instance")
         : cold(InstanceId(id))
-        , chooser(fleet, loads, health, backoff, stalls, cold)
+        , rateLimits(InstanceId(id))
+        , chooser(fleet, loads, health, backoff, stalls, cold, rateLimits)
     {
         fleet.apply(ConfigWritten{twoServices()}, start);
     }
--- a/tests/jy_gateway/RelayFixture.h
+++ b/tests/jy_gateway/RelayFixture.h
@@ -63,7 +63,8 @@
         : loop_(loop)
         , client_(HttpClient::create(loop, {.connectTimeout = milliseconds(300)}))
         , cold_(InstanceId("self"))
-        , chooser_(fleet, loads_, health_, backoff_, stalls, cold_)
+        , rateLimits_(InstanceId("self"))
+        , chooser_(fleet, loads_, health_, backoff_, stalls, cold_, rateLimits_)
         , protocol_(testProtocol())
         , relay_({.client = *client_,
                   .fleet = fleet,
@@ -162,8 +163,8 @@
     ServerHealth health_;
     ServerBackoff backoff_;
     ColdAllowance cold_;
-    PromptQuarantine quarantine_{InstanceId("self")};
     ServerRateLimits rateLimits_;
+    PromptQuarantine quarantine_{InstanceId("self")};
     ServerChooser chooser_;
     PromptCacheIndex prompts_;
     CallerProtocol protocol_;
--- a/tests/jy_gateway/ServerRateLimitsTest.cpp
+++ b/tests/jy_gateway/ServerRateLimitsTest.cpp
@@ -33,16 +33,22 @@
     explicit LimitedFleet(const LimitedLoad &load)
         : load_(load)
     {
+        std::set<InstanceId> live;
         for (int i = 0; i < load.instances; ++i) {
             instances_.push_back(std::make_unique<Instance>("i" + std::to_string(i)));
             instances_.back()->add(load.servers, engines);
+            live.insert(InstanceId("i" + std::to_string(i)));
         }
+        for (auto &instance : instances_)
+            instance->rateLimits.setInstances(live);
     }
 
     void run(seconds duration)
     {
         constexpr milliseconds step{1};
         for (auto now = start; now < start + duration; now += step) {
+            if ((now - start) % heartbeatPeriod == seconds(0))
+                exchange(now);
             if (unit_(random_) < load_.rate * std::chrono::duration<double>(step).count())
                 send(now);
         }
@@ -54,6 +60,20 @@
     int served = 0;
 
 private:
+    static constexpr milliseconds heartbeatPeriod{500};
+
+    void exchange(TimePoint now)
+    {
+        for (auto &from : instances_) {
+            for (const auto &report : from->rateLimits.takeReports(1)) {
+                for (auto &to : instances_) {
+                    if (to != from)
+                        to->rateLimits.receive(report, now);
+                }
+            }
+        }
+    }
+
     void send(TimePoint now)
     {
         constexpr seconds window{4};
@@ -106,6 +126,28 @@
                                          LimitedLoad{"low_limit", 6, 18, 9, 0.3, 50, true, 0.99}),
                          [](const auto &testCase) { return testCase.param.name; });
 
+// Guards against a scattered cache: requests of a limited home went to any server with a request
+// left of its limit, which then read the prompt anew.
+TEST(ServerRateLimitsTest, LimitedServersGetOnlyPromptsThatTheyHold)
+{
+    constexpr int servers = 6;
+    Instance instance;
+    instance.add(servers, engines);
+    const ServerId free{"s5"};
+    for (int i = 0; i + 1 < servers; ++i)
+        instance.rateLimits.observe(ServerId("s" + std::to_string(i)), 3, start);
+    for (std::uint64_t affinity = 1; affinity < 100; affinity += 2) {
+        PlacementQuery query{.service = engines, .affinity = affinity, .sharedTokens = longPrefix};
+        EXPECT_EQ(instance.chooser.choose(query, 0, start).server, free);
+    }
+    PlacementQuery held{.service = engines, .affinity = 7, .sharedTokens = longPrefix};
+    held.holders = {{ServerId("s2"), start}};
+    EXPECT_EQ(instance.chooser.choose(held, 0, start).server, ServerId("s2"));
+    const auto second = instance.chooser.choose(held, 0, start);
+    EXPECT_EQ(second.server, free);
+    EXPECT_EQ(second.copySource, ServerId("s2"));
+}
+
 } // namespace
 
 } // namespace jy::test
