Continue a begun stream only with an event stream

A stream had begun and broke off, the next server answered with a body of over 64 KB that is no event stream, an error among them: its text was written into the caller's stream. Cause: long responses are passed on without a check whether a response has begun; short ones were dropped for that reason. The attempt now counts as failed, and the stream goes on elsewhere or breaks off.

--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -342,9 +342,13 @@
     case ResponseClass::Deliver:
         break;
     }
-    const bool success = stream.status() / 100 == 2;
-    return success && metadata.eventStream ? relayEvents(stream, server)
-                                           : relayBuffered(stream, server);
+    if (stream.status() / 100 == 2 && metadata.eventStream)
+        return relayEvents(stream, server);
+    if (responder_.started())
+        return fail({ErrorKind::BackendBroken,
+                     "status " + std::to_string(stream.status()) + " does not continue the stream"},
+                    server);
+    return relayBuffered(stream, server);
 }
 
 RelayExchange::Step RelayExchange::relayBuffered(HttpStream &stream, const ServerId &server)
--- a/tests/jy_gateway/RelayFixture.h
+++ b/tests/jy_gateway/RelayFixture.h
@@ -132,6 +132,30 @@
                                 {.keepHost = true});
     }
 
+    /** What a caller received of a response, and whether it ended properly. */
+    struct Received
+    {
+        std::string body;
+        bool complete = false;
+    };
+
+    Received receive(HttpHeaders headers = {{"Id", "r1"}})
+    {
+        headers.add("Host", "h");
+        auto stream = client_->open(server_->localEndpoint(),
+                                    {.method = "POST", .target = "/x", .headers = headers},
+                                    callLimit, {.keepHost = true});
+        Received received;
+        while (stream) {
+            auto part = stream.value()->readSome(callLimit);
+            received.complete = part && part.value().empty();
+            if (!part || received.complete)
+                break;
+            received.body += part.value();
+        }
+        return received;
+    }
+
     /** Sets the requests in flight that another instance reports, by server. */
     void setPeerRequests(RequestCountsByServer requests)
     {
--- a/tests/jy_gateway/RelayStreamTest.cpp
+++ b/tests/jy_gateway/RelayStreamTest.cpp
@@ -156,6 +156,50 @@
     });
 }
 
+struct SecondResponseCase
+{
+    const char *name;
+    int status;
+    HttpHeaders headers;
+    std::size_t bodyBytes;
+};
+
+struct SecondResponseTest : testing::TestWithParam<SecondResponseCase>
+{ };
+
+// Guards against an error or a plain body of the next server within a stream that had begun.
+TEST_P(SecondResponseTest, OnlyAnEventStreamContinuesAStream)
+{
+    withRelay([](RelayFixture &relay) {
+        const auto &param = GetParam();
+        relay.configure({.kind = RequestKind::Stream, .resumable = true, .maxAttempts = 2});
+        int calls = 0;
+        const auto backend = [&](const HttpRequest &, HttpResponder &out) {
+            if (++calls == 1) {
+                out.startStream(200, streamHead());
+                out.write("id: 1\ndata: a\n\n");
+                return;
+            }
+            out.send(param.status, param.headers, std::string(param.bodyBytes, 'x'));
+        };
+        relay.addBackend(backend);
+        relay.addBackend(backend);
+        const auto received = relay.receive();
+        EXPECT_EQ(received.body, "id: 1\ndata: a\n\n");
+        EXPECT_FALSE(received.complete);
+        EXPECT_EQ(calls, 2);
+    });
+}
+
+INSTANTIATE_TEST_SUITE_P(Responses, SecondResponseTest,
+                         testing::Values(SecondResponseCase{"not_found", 404, sealed, 20},
+                                         SecondResponseCase{"failure", 500, sealed, 20},
+                                         SecondResponseCase{"refusal", 503, notRun, 20},
+                                         SecondResponseCase{"plain", 200, sealed, 20},
+                                         SecondResponseCase{"long_plain", 200, sealed, 100'000},
+                                         SecondResponseCase{"long_error", 404, sealed, 100'000}),
+                         [](const auto &testCase) { return testCase.param.name; });
+
 } // namespace
 
 } // namespace jy::test
