Take a refusal for one of the request only if it names it

Callers could be told 'not run, try again' for a request that a server ran, or such a request ran at a second server: a faulty server wrote an earlier refusal once more on a kept connection, without an id. Cause: a response without an id counted as that of the request under way. One with another id was dropped already. A refusal without the request's id now says nothing about it (502, no repeat of a request that must run once).

--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -324,7 +324,7 @@
     recordWait();
     applyServerState(metadata, registered);
     const auto &server = registered.id;
-    const auto responseClass = classifyResponse(stream.status(), metadata);
+    const auto responseClass = classifyResponse(stream.status(), metadata, metadata_.id);
     // A stream runs from its first token on, everything else once it was sent.
     if (responseClass != ResponseClass::NotRun && !metadata.eventStream)
         noteBegan(sentAt_);
--- a/modules/jy_gateway/relay/ResponseRules.cpp
+++ b/modules/jy_gateway/relay/ResponseRules.cpp
@@ -17,10 +17,12 @@
 
 } // namespace
 
-ResponseClass classifyResponse(int status, const ResponseMetadata &metadata)
+ResponseClass classifyResponse(int status, const ResponseMetadata &metadata,
+                               const RequestId &request)
 {
     if (metadata.notRun || metadata.misdirected)
-        return ResponseClass::NotRun;
+        return metadata.requestId == request.value() ? ResponseClass::NotRun
+                                                     : ResponseClass::Unusable;
     if (isSuccess(status))
         return metadata.sealed && !metadata.reencoded ? ResponseClass::Deliver
                                                       : ResponseClass::Unusable;
--- a/modules/jy_gateway/relay/ResponseRules.h
+++ b/modules/jy_gateway/relay/ResponseRules.h
@@ -18,10 +18,14 @@
 /**
  * Classifies a response by its head.
  *
+ * A refusal must name the request: a faulty server may write an earlier one once more on a
+ * connection that is in use again.
+ *
  * A success is valid only with the server's seal and in the encoding that was asked for. Statuses
  * that callers take to mean "not run" are delivered only if the server states that explicitly.
  */
-ResponseClass classifyResponse(int status, const ResponseMetadata &metadata);
+ResponseClass classifyResponse(int status, const ResponseMetadata &metadata,
+                               const RequestId &request);
 
 /** Retry-After time for a refused caller, by the reason of the refusal. */
 std::chrono::milliseconds retryAfter(PlacementReason reason);
--- a/tests/jy_gateway/RelayRulesTest.cpp
+++ b/tests/jy_gateway/RelayRulesTest.cpp
@@ -23,7 +23,8 @@
 
 TEST_P(ResponseRulesTest, HeadIsClassified)
 {
-    EXPECT_EQ(classifyResponse(GetParam().status, GetParam().metadata), GetParam().expected);
+    EXPECT_EQ(classifyResponse(GetParam().status, GetParam().metadata, RequestId("r1")),
+              GetParam().expected);
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -34,8 +35,11 @@
         ResponseCase{
             "ReencodedSuccess", 200, {.sealed = true, .reencoded = true}, ResponseClass::Unusable},
         ResponseCase{"ServerFailure", 500, {.sealed = true}, ResponseClass::Failed},
-        ResponseCase{"RefusedByServer", 503, {.notRun = true}, ResponseClass::NotRun},
-        ResponseCase{"Misdirected", 421, {.misdirected = true}, ResponseClass::NotRun},
+        ResponseCase{
+            "RefusedByServer", 503, {.requestId = "r1", .notRun = true}, ResponseClass::NotRun},
+        ResponseCase{
+            "Misdirected", 421, {.requestId = "r1", .misdirected = true}, ResponseClass::NotRun},
+        ResponseCase{"RefusalWithoutId", 503, {.notRun = true}, ResponseClass::Unusable},
         // Callers would take these to mean "not run", which the server has not stated.
         ResponseCase{"UnavailableWithoutNotRun", 503, {.sealed = true}, ResponseClass::Unusable},
         ResponseCase{"TooManyWithoutNotRun", 429, {}, ResponseClass::Unusable},
--- a/tests/jy_gateway/RequestRelayTest.cpp
+++ b/tests/jy_gateway/RequestRelayTest.cpp
@@ -260,6 +260,47 @@
     });
 }
 
+struct StrayRefusalCase
+{
+    const char *name;
+    RequestKind kind;
+
+    /** Header fields of a refusal that was written before the response to the request. */
+    HttpHeaders refusal;
+};
+
+struct StrayRefusalTest : testing::TestWithParam<StrayRefusalCase>
+{ };
+
+// Guards against "not run" for a request that ran, or a second run: a faulty server writes an
+// earlier refusal once more on a kept connection.
+TEST_P(StrayRefusalTest, RefusalThatDoesNotNameTheRequestSaysNothingAboutIt)
+{
+    withRelay([](RelayFixture &relay) {
+        relay.configure({.kind = GetParam().kind, .maxAttempts = 2});
+        int calls = 0;
+        const auto backend = [&](const HttpRequest &, HttpResponder &out) {
+            ++calls;
+            out.send(503, GetParam().refusal, "refused");
+        };
+        relay.addBackend(backend);
+        relay.addBackend(backend);
+        const auto response = relay.call({{"Id", "r1"}, {"Patience", "300"}}).value();
+        EXPECT_NE(response.status, 503);
+        EXPECT_FALSE(response.headers.find("Retry-After").has_value());
+        EXPECT_EQ(calls, GetParam().kind == RequestKind::Unsafe ? 1 : 2);
+    });
+}
+
+const HttpHeaders refusalOfAnother{{"Id", "r0"}, {"Not-Run", "1"}};
+const HttpHeaders refusalWithoutId{{"Not-Run", "1"}};
+INSTANTIATE_TEST_SUITE_P(
+    Refusals, StrayRefusalTest,
+    testing::Values(StrayRefusalCase{"other_id", RequestKind::Unsafe, refusalOfAnother},
+                    StrayRefusalCase{"no_id", RequestKind::Unsafe, refusalWithoutId},
+                    StrayRefusalCase{"no_id_safe", RequestKind::Safe, refusalWithoutId}),
+    [](const auto &testCase) { return testCase.param.name; });
+
 } // namespace
 
 } // namespace jy::test
