Pair the message formats of this build and of the last landed one

Machines are replaced one after the other, so builds run side by side. The test reads and writes heartbeats and reports with the landed schema and with the new one; later fields of stored entries and copies are passed over.

--- /dev/null
+++ b/tests/jy_gateway/PeerFormatTest.cpp
@@ -0,0 +1,151 @@
+#include "jy_gateway/peers/HeartbeatCodec.h"
+#include "jy_gateway/registry/InstanceEntry.h"
+#include "jy_gateway/registry/StoreCopy.h"
+
+#include <google/protobuf/descriptor.pb.h>
+#include <google/protobuf/dynamic_message.h>
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <functional>
+
+namespace jy::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::map<std::uint32_t, ServerId> servers{{serverHash(ServerId("s1")), ServerId("s1")},
+                                                {serverHash(ServerId("s2")), ServerId("s2")}};
+const InstanceId sender{"i1"};
+
+Result<Heartbeat> decode(const std::string &bytes)
+{
+    return decodeHeartbeat(
+        bytes,
+        [](std::uint32_t hash) {
+            const auto found = servers.find(hash);
+            return found == servers.end() ? nullptr : &found->second;
+        },
+        [](std::uint32_t) { return &sender; });
+}
+
+/** Reads and writes heartbeats with the schema of the build that landed last: protoc
+ * --descriptor_set_out of its beat.proto. */
+class LandedBuild
+{
+public:
+    LandedBuild()
+    {
+        std::ifstream file(std::string(JY_SOURCE_DIR)
+                           + "/tests/jy_gateway/formats/beat-landed.binpb");
+        google::protobuf::FileDescriptorSet schema;
+        EXPECT_TRUE(schema.ParseFromIstream(&file));
+        const auto *built = pool_.BuildFile(schema.file(0));
+        if (built)
+            prototype_ = factory_.GetPrototype(built->FindMessageTypeByName("Beat"));
+    }
+
+    /** @returns what the landed build keeps of a message, as it would write it itself */
+    std::string readAndWrite(const std::string &bytes)
+    {
+        const std::unique_ptr<google::protobuf::Message> message(prototype_->New());
+        EXPECT_TRUE(message->ParseFromString(bytes));
+        message->DiscardUnknownFields();
+        return message->SerializeAsString();
+    }
+
+private:
+    google::protobuf::DescriptorPool pool_;
+    google::protobuf::DynamicMessageFactory factory_{&pool_};
+    const google::protobuf::Message *prototype_ = nullptr;
+};
+
+Heartbeat landedHeartbeat(bool brief)
+{
+    return {.brief = brief,
+            .instance = {.id = sender,
+                         .caller = {"10.0.0.1", 1},
+                         .peer = {"10.0.0.1", 2},
+                         .control = {"10.0.0.1", 3},
+                         .domain = DomainId("a"),
+                         .linkMbps = 10,
+                         .milliCores = 250},
+            .incarnation = 1'790'000'000'000,
+            .sequence = 9,
+            .ready = true,
+            .requests = {{ServerId("s1"), {3, 1}}},
+            .leaving = {{ServerId("s2"), 1'790'000'000'123}},
+            .cached = {{7, ServerId("s1")}},
+            .stalled = {ServerId("s2")}};
+}
+
+struct FormatCase
+{
+    const char *name;
+    std::function<Heartbeat()> landed;
+};
+
+struct PeerFormatTest : testing::TestWithParam<FormatCase>
+{ };
+
+// Guards against instances of two builds that do not understand each other while machines are
+// replaced one after the other.
+TEST_P(PeerFormatTest, NewAndLandedBuildsUnderstandEachOther)
+{
+    LandedBuild landedBuild;
+    const auto landed = GetParam().landed();
+    auto sent = landed;
+    sent.parts = {.crashes = {{1, 2, CrashEvidence::ResponseBegun, milliseconds(300)}},
+                  .quarantined = {{3, 1, milliseconds(-5)}},
+                  .sound = {{4, milliseconds(20)}}};
+    sent.serverLimits = {{ServerId("s1"), 2.5}, {ServerId("s2"), std::nullopt}};
+    const auto bytes = encodeHeartbeat(sent);
+    EXPECT_EQ(landedBuild.readAndWrite(bytes), encodeHeartbeat(landed));
+
+    const auto ofNew = decode(bytes);
+    const auto ofLanded = decode(landedBuild.readAndWrite(bytes));
+    ASSERT_TRUE(ofNew && ofLanded);
+    EXPECT_EQ(ofNew.value().parts.quarantined.at(0).untilProbe, milliseconds(-5));
+    EXPECT_EQ(ofNew.value().serverLimits.at(0).perSecond, 2.5);
+    EXPECT_FALSE(ofNew.value().serverLimits.at(1).perSecond);
+    EXPECT_TRUE(ofLanded.value().parts.crashes.empty() && ofLanded.value().serverLimits.empty());
+    EXPECT_EQ(ofLanded.value().requests, ofNew.value().requests);
+    EXPECT_EQ(ofLanded.value().leaving, landed.leaving);
+}
+
+INSTANTIATE_TEST_SUITE_P(Messages, PeerFormatTest,
+                         testing::Values(FormatCase{"brief", [] { return landedHeartbeat(true); }},
+                                         FormatCase{"complete",
+                                                    [] { return landedHeartbeat(false); }},
+                                         FormatCase{"report",
+                                                    [] {
+                                                        auto report = landedHeartbeat(true);
+                                                        report.requests.clear();
+                                                        report.group = GroupReport{
+                                                            .groups = 16,
+                                                            .group = 3,
+                                                            .ready = {1, 2},
+                                                            .requests = {{ServerId("s1"), {5, 0}}}};
+                                                        return report;
+                                                    }}),
+                         [](const auto &testCase) { return testCase.param.name; });
+
+TEST(StoredFormatTest, FieldsOfLaterBuildsArePassedOver)
+{
+    const auto entry = decodeInstance(
+        {"instances/i1",
+         R"({"caller":"10.0.0.1:1","peer":"10.0.0.1:2","control":"10.0.0.1:3","later":{"x":[1]}})",
+         1, false});
+    ASSERT_TRUE(entry);
+    EXPECT_TRUE(std::holds_alternative<InstanceWritten>(*entry));
+    const auto copy = decodeStoreCopy(compressCopy(
+        R"({"items":[{"key":"k","revision":3,"value":"dg==","later":1}],"as_of":3,"age_ms":5,"later":"x"})"));
+    ASSERT_TRUE(copy);
+    EXPECT_EQ(copy.value().page.items.at(0).value, "v");
+}
+
+} // namespace
+
+} // namespace jy::test
