Keep entries about incidents within the control traffic; forget ended limits sooner

Most likely cause: with 112 limits and one entry in each report, most instances learned of the end only when a limit expired after 10 s, and until then took the mean load of the other 48 servers for their bound. Limits now expire after 6 s without renewal (3 s intervals become 2 s), and heartbeats carry more entries where they can.

--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -4,6 +4,7 @@
 #include "jy_gateway/adapter/DutyApi.h"
 #include "jy_gateway/adapter/SharedStore.h"
 #include "jy_gateway/duties/DutyRunner.h"
+#include "jy_gateway/peers/EntryBudget.h"
 #include "jy_gateway/peers/FleetClock.h"
 #include "jy_gateway/peers/HeartbeatSchedule.h"
 #include "jy_gateway/peers/HeartbeatSocket.h"
@@ -143,6 +144,8 @@
     std::uint64_t heartbeatSequence_ = 0;
     HeartbeatSchedule schedule_;
     int heartbeatsSinceReport_ = 0;
+    EntryBudget heartbeatEntries_;
+    EntryBudget reportEntries_;
 
     /** Readiness stated in the last heartbeat. */
     bool lastSentReady_ = false;
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -295,25 +295,30 @@
 
 void Gateway::sendHeartbeat(HeartbeatScope scope)
 {
-    auto outcomes = health_.outcomes(Clock::now());
+    const auto now = Clock::now();
+    auto outcomes = health_.outcomes(now);
     const bool brief = schedule_.nextIsBrief(outcomes) && scope == HeartbeatScope::OwnGroup;
-    const Heartbeat heartbeat{
-        .brief = brief,
-        .instance = self_,
-        .incarnation = incarnation_,
-        .sequence = ++heartbeatSequence_,
-        .ready = ready(),
-        .requests = loads_.own(),
-        .outcomes = std::move(outcomes),
-        .leaving = fleet_.announcedLeaving(),
-        .cached = prompts_.takeUpdates(peers_.cachedPromptsPerHeartbeat()),
-        .stalled = stalls_.ownStalled(Clock::now()),
-        .parts = quarantine_.takeReport(peers_.limitEntriesPerHeartbeat(), !brief, Clock::now()),
-        .serverLimits = rateLimits_.takeReports(peers_.limitEntriesPerHeartbeat()),
-        .wallTime = std::chrono::system_clock::now()};
-    const auto bytes = encodeHeartbeat(heartbeat);
     const bool everywhere = scope == HeartbeatScope::AllInstances;
-    for (const auto &to : everywhere ? peers_.allDestinations() : peers_.destinations())
+    const auto destinations = everywhere ? peers_.allDestinations() : peers_.destinations();
+    const auto entries = heartbeatEntries_.available(destinations.size(), now);
+    auto parts = quarantine_.takeReport(entries, !brief, now);
+    auto limits = rateLimits_.takeReports(entries - std::min(entries, parts.size()));
+    heartbeatEntries_.spend(parts.size() + limits.size(), destinations.size());
+    const Heartbeat heartbeat{.brief = brief,
+                              .instance = self_,
+                              .incarnation = incarnation_,
+                              .sequence = ++heartbeatSequence_,
+                              .ready = ready(),
+                              .requests = loads_.own(),
+                              .outcomes = std::move(outcomes),
+                              .leaving = fleet_.announcedLeaving(),
+                              .cached = prompts_.takeUpdates(peers_.cachedPromptsPerHeartbeat()),
+                              .stalled = stalls_.ownStalled(now),
+                              .parts = std::move(parts),
+                              .serverLimits = std::move(limits),
+                              .wallTime = std::chrono::system_clock::now()};
+    const auto bytes = encodeHeartbeat(heartbeat);
+    for (const auto &to : destinations)
         heartbeats_->send(bytes, to);
 }
 
@@ -330,16 +335,20 @@
                        .outcomes = health_.ownGroup(now)};
     if (ready())
         report.ready.push_back(peerHash(self_.id));
-    const auto bytes = encodeHeartbeat(
-        {.instance = self_,
-         .incarnation = incarnation_,
-         .sequence = ++heartbeatSequence_,
-         .ready = ready(),
-         .leaving = fleet_.announcedLeaving(),
-         .cached = prompts_.takeGroupUpdates(peers_.cachedPromptsPerReport()),
-         .parts = quarantine_.takeGroupReport(peers_.limitEntriesPerHeartbeat(), now),
-         .serverLimits = rateLimits_.takeGroupReports(peers_.limitEntriesPerHeartbeat()),
-         .group = std::move(report)});
+    const auto entries = reportEntries_.available(destinations.size(), now);
+    auto parts = quarantine_.takeGroupReport(entries, now);
+    auto limits = rateLimits_.takeGroupReports(entries - std::min(entries, parts.size()));
+    reportEntries_.spend(parts.size() + limits.size(), destinations.size());
+    const auto bytes =
+        encodeHeartbeat({.instance = self_,
+                         .incarnation = incarnation_,
+                         .sequence = ++heartbeatSequence_,
+                         .ready = ready(),
+                         .leaving = fleet_.announcedLeaving(),
+                         .cached = prompts_.takeGroupUpdates(peers_.cachedPromptsPerReport()),
+                         .parts = std::move(parts),
+                         .serverLimits = std::move(limits),
+                         .group = std::move(report)});
     for (const auto &to : destinations)
         heartbeats_->send(bytes, to);
 }
--- a/modules/jy_gateway/limits/PromptQuarantine.cpp
+++ b/modules/jy_gateway/limits/PromptQuarantine.cpp
@@ -251,9 +251,13 @@
     if (!complete)
         return report;
     report.quarantined.clear();
-    for (const auto &[part, quarantine] : quarantined_) {
-        if (report.quarantined.size() < maxPending)
-            report.quarantined.push_back(describe(part, now));
+    const auto count = std::min(repeatedQuarantines, quarantined_.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        auto next = quarantined_.upper_bound(lastRepeated_);
+        if (next == quarantined_.end())
+            next = quarantined_.begin();
+        lastRepeated_ = next->first;
+        report.quarantined.push_back(describe(lastRepeated_, now));
     }
     return report;
 }
--- a/modules/jy_gateway/limits/PromptQuarantine.h
+++ b/modules/jy_gateway/limits/PromptQuarantine.h
@@ -60,6 +60,8 @@
     std::vector<PartCrash> crashes;
     std::vector<QuarantinedPart> quarantined;
     std::vector<SoundPart> sound;
+
+    std::size_t size() const { return crashes.size() + quarantined.size() + sound.size(); }
 };
 
 /**
@@ -109,6 +111,9 @@
     /** Maximum number of entries of a kind that wait to be sent. */
     static constexpr std::size_t maxPending = 16;
 
+    /** Number of quarantines that a complete heartbeat repeats. */
+    static constexpr std::size_t repeatedQuarantines = 2;
+
     /** Number of heartbeats that carry an entry, so that one lost datagram does no harm. */
     static constexpr int sendsPerEntry = 2;
 
@@ -149,7 +154,7 @@
     /** Takes what the next heartbeat says about parts; nothing while none is suspected.
      *
      * @param maxEntries limit of each list
-     * @param complete adds all quarantines, for instances that have just started
+     * @param complete repeats quarantines by turns, for instances that have just started
      */
     PartReport takeReport(std::size_t maxEntries, bool complete, TimePoint now);
 
@@ -233,6 +238,9 @@
     std::map<PromptPartKey, Quarantine> quarantined_;
 
     Outbox heartbeats_;
+
+    /** The part whose quarantine was repeated last. */
+    PromptPartKey lastRepeated_ = 0;
     Outbox groupReports_;
 
     /** When this instance or another one last objected to the suspicion of a part. */
--- a/modules/jy_gateway/limits/ServerRateLimits.h
+++ b/modules/jy_gateway/limits/ServerRateLimits.h
@@ -37,10 +37,10 @@
 {
 public:
     /** Shortest time after which a limit is forgotten if no response renews it. */
-    static constexpr std::chrono::seconds minLifetime{10};
+    static constexpr std::chrono::seconds minLifetime{6};
 
     /** Time after which an instance reports a limit that no other instance has reported since. */
-    static constexpr std::chrono::seconds repeatInterval{3};
+    static constexpr std::chrono::seconds repeatInterval{2};
 
     /** Instances that share a limit, for each request per second. */
     static constexpr double sharersPerRequest = 2;
--- a/modules/jy_gateway/peers/PeerTable.cpp
+++ b/modules/jy_gateway/peers/PeerTable.cpp
@@ -21,21 +21,15 @@
 constexpr double cachedBytesInHeartbeats = 1000;
 constexpr double cachedBytesInReports = 500;
 
-// The same for each list of prompt parts that may crash servers, and of limits of servers.
-constexpr double limitBytes = 500;
-
-// Encoded sizes of the entries.
-constexpr double cachedPromptBytes = 8;
-constexpr double limitEntryBytes = 16;
-
-/** @returns the number of entries that each datagram may contain, at least one */
-std::size_t entriesPerDatagram(double entryBytes, double bytesPerSecond,
-                               std::chrono::milliseconds period, std::size_t receivers)
+/** @returns the number of cached prompts that each datagram may contain, at least one */
+std::size_t cachedPromptsPerDatagram(double bytesPerSecond, std::chrono::milliseconds period,
+                                     std::size_t receivers)
 {
+    constexpr double cachedPromptBytes = 8;
     const double bytes = bytesPerSecond * std::chrono::duration<double>(period).count();
-    const double entries =
-        bytes / (entryBytes * static_cast<double>(std::max<std::size_t>(1, receivers)));
-    return std::max<std::size_t>(1, static_cast<std::size_t>(entries));
+    const double prompts =
+        bytes / (cachedPromptBytes * static_cast<double>(std::max<std::size_t>(1, receivers)));
+    return std::max<std::size_t>(1, static_cast<std::size_t>(prompts));
 }
 
 /** Whether enough members of a group have sent heartbeats to treat the others as dead. */
@@ -73,19 +67,13 @@
 
 std::size_t PeerTable::cachedPromptsPerHeartbeat() const
 {
-    return entriesPerDatagram(cachedPromptBytes, cachedBytesInHeartbeats, period(),
-                              destinations().size());
+    return cachedPromptsPerDatagram(cachedBytesInHeartbeats, period(), destinations().size());
 }
 
 std::size_t PeerTable::cachedPromptsPerReport() const
 {
-    return entriesPerDatagram(cachedPromptBytes, cachedBytesInReports,
-                              heartbeatsPerReport * period(), groups_ - 1);
-}
-
-std::size_t PeerTable::limitEntriesPerHeartbeat() const
-{
-    return entriesPerDatagram(limitEntryBytes, limitBytes, period(), destinations().size());
+    return cachedPromptsPerDatagram(cachedBytesInReports, heartbeatsPerReport * period(),
+                                    groups_ - 1);
 }
 
 std::chrono::milliseconds PeerTable::responseTime() const
--- a/modules/jy_gateway/peers/PeerTable.h
+++ b/modules/jy_gateway/peers/PeerTable.h
@@ -128,10 +128,6 @@
     /** Maximum number of cached prompts in a report to the other groups. */
     std::size_t cachedPromptsPerReport() const;
 
-    /** Maximum number of entries in each list of a heartbeat or report about prompt parts and
-     * limits of servers. */
-    std::size_t limitEntriesPerHeartbeat() const;
-
     /** Time in which an instance hears the response of the others to what it reports. */
     std::chrono::milliseconds responseTime() const;
 
--- a/tests/jy_gateway/PeerTableTest.cpp
+++ b/tests/jy_gateway/PeerTableTest.cpp
@@ -1,4 +1,5 @@
 #include "jy_gateway/peers/PeerTable.h"
+#include "jy_gateway/peers/EntryBudget.h"
 #include "jy_gateway/peers/HeartbeatCodec.h"
 #include "jy_gateway/peers/HeartbeatSchedule.h"
 
@@ -190,8 +191,11 @@
 
 const CachedPrompt cachedPrompt{0x12345678, ServerId("i-7f7a58e40")};
 
+const PartCrash crash{1, 2, CrashEvidence::ResponseBegun, milliseconds(5000)};
+const ServerLimitReport serverLimit{ServerId("i-7f7a58e40"), 3.4};
+
 /** Size of a report about a group whose members each have four requests in flight. */
-std::size_t reportBytes(const PeerTable &table)
+std::size_t reportBytes(const PeerTable &table, std::size_t entries)
 {
     GroupReport report{.groups = table.groupCount()};
     const auto members = table.destinations().size() + 1;
@@ -203,12 +207,14 @@
     return encodeHeartbeat({.incarnation = 1'790'000'000'000,
                             .sequence = 1'000,
                             .cached = {table.cachedPromptsPerReport(), cachedPrompt},
+                            .serverLimits = {entries, serverLimit},
                             .group = report})
         .size();
 }
 
 // The budget for control traffic is 14 KB/s for each instance. In this load each instance has four
-// requests in flight, outcome counts of twelve servers and as many cached prompts as fit.
+// requests in flight, outcome counts of twelve servers, and as many cached prompts, crashes and
+// limits of servers as fit.
 TEST_P(HeartbeatBudgetTest, HeartbeatsOfOneInstanceStayWithinTheBudget)
 {
     constexpr double budget = 14'000;
@@ -230,12 +236,23 @@
     }
     sent.cached.resize(table.cachedPromptsPerHeartbeat(), cachedPrompt);
     HeartbeatSchedule schedule;
+    EntryBudget heartbeatEntries;
+    EntryBudget reportBudget;
     std::size_t bytes = 0;
     for (int i = 0; i < heartbeats; ++i) {
         sent.brief = schedule.nextIsBrief(sent.outcomes);
-        bytes += encodeHeartbeat(sent).size() * table.destinations().size();
-        if (i % PeerTable::heartbeatsPerReport == 0)
-            bytes += reportBytes(table) * (table.groupCount() - 1);
+        const auto now = start + i * table.period();
+        const auto receivers = table.destinations().size();
+        const auto entries = heartbeatEntries.available(receivers, now);
+        heartbeatEntries.spend(entries, receivers);
+        sent.parts.crashes.resize(entries, crash);
+        bytes += encodeHeartbeat(sent).size() * receivers;
+        const auto groups = table.groupCount() - 1;
+        if (groups == 0 || i % PeerTable::heartbeatsPerReport != 0)
+            continue;
+        const auto reportEntries = reportBudget.available(groups, now);
+        reportBudget.spend(reportEntries, groups);
+        bytes += reportBytes(table, reportEntries) * groups;
     }
     const std::chrono::duration<double> time = heartbeats * table.period();
     EXPECT_LE(static_cast<double>(bytes) / time.count(), budget);
