--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -144,8 +144,9 @@
     std::uint64_t heartbeatSequence_ = 0;
     HeartbeatSchedule schedule_;
     int heartbeatsSinceReport_ = 0;
-    EntryBudget heartbeatEntries_;
-    EntryBudget reportEntries_;
+
+    /** Shared by heartbeats and reports. */
+    EntryBudget incidentEntries_;
 
     /** Readiness stated in the last heartbeat. */
     bool lastSentReady_ = false;
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -300,10 +300,10 @@
     const bool brief = schedule_.nextIsBrief(outcomes) && scope == HeartbeatScope::OwnGroup;
     const bool everywhere = scope == HeartbeatScope::AllInstances;
     const auto destinations = everywhere ? peers_.allDestinations() : peers_.destinations();
-    const auto entries = heartbeatEntries_.available(destinations.size(), now);
+    const auto entries = incidentEntries_.available(destinations.size(), now);
     auto parts = quarantine_.takeReport(entries, !brief, now);
     auto limits = rateLimits_.takeReports(entries - std::min(entries, parts.size()));
-    heartbeatEntries_.spend(parts.size() + limits.size(), destinations.size());
+    incidentEntries_.spend(parts.size() + limits.size(), destinations.size());
     const Heartbeat heartbeat{.brief = brief,
                               .instance = self_,
                               .incarnation = incarnation_,
@@ -335,10 +335,10 @@
                        .outcomes = health_.ownGroup(now)};
     if (ready())
         report.ready.push_back(peerHash(self_.id));
-    const auto entries = reportEntries_.available(destinations.size(), now);
+    const auto entries = incidentEntries_.available(destinations.size(), now);
     auto parts = quarantine_.takeGroupReport(entries, now);
     auto limits = rateLimits_.takeGroupReports(entries - std::min(entries, parts.size()));
-    reportEntries_.spend(parts.size() + limits.size(), destinations.size());
+    incidentEntries_.spend(parts.size() + limits.size(), destinations.size());
     const auto bytes =
         encodeHeartbeat({.instance = self_,
                          .incarnation = incarnation_,
--- a/tests/jy_gateway/PeerTableTest.cpp
+++ b/tests/jy_gateway/PeerTableTest.cpp
@@ -236,22 +236,21 @@
     }
     sent.cached.resize(table.cachedPromptsPerHeartbeat(), cachedPrompt);
     HeartbeatSchedule schedule;
-    EntryBudget heartbeatEntries;
-    EntryBudget reportBudget;
+    EntryBudget budgetForEntries;
     std::size_t bytes = 0;
     for (int i = 0; i < heartbeats; ++i) {
         sent.brief = schedule.nextIsBrief(sent.outcomes);
         const auto now = start + i * table.period();
         const auto receivers = table.destinations().size();
-        const auto entries = heartbeatEntries.available(receivers, now);
-        heartbeatEntries.spend(entries, receivers);
+        const auto entries = budgetForEntries.available(receivers, now);
+        budgetForEntries.spend(entries, receivers);
         sent.parts.crashes.resize(entries, crash);
         bytes += encodeHeartbeat(sent).size() * receivers;
         const auto groups = table.groupCount() - 1;
         if (groups == 0 || i % PeerTable::heartbeatsPerReport != 0)
             continue;
-        const auto reportEntries = reportBudget.available(groups, now);
-        reportBudget.spend(reportEntries, groups);
+        const auto reportEntries = budgetForEntries.available(groups, now);
+        budgetForEntries.spend(reportEntries, groups);
         bytes += reportBytes(table, reportEntries) * groups;
     }
     const std::chrono::duration<double> time = heartbeats * table.period();
