Build roll-outs, switched off

RolloutTraffic assigns requests within this instance's part of the permitted exposure, RolloutJudge analyzes the counts of all instances with CanaryAnalyzer, and three judges write the progress to the store under a condition. Reports of an earlier order for the same version no longer count for a later one.

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -123,6 +123,7 @@
                                    const RegisteredInstance &to) { sendUsage(usage, to); },
                .scalableServices = [this] { return scalableServices(); }},
               self_, incarnation_, dutySettings())
+    , rolloutTraffic_(fleet_, {settings_.bounds.exposureShare, settings_.bounds.exposureSlack})
     , relay_({.client = *serverClient_,
               .fleet = fleet_,
               .loads = loads_,
@@ -133,6 +134,7 @@
               .stalls = stalls_,
               .quarantine = quarantine_,
               .rateLimits = rateLimits_,
+              .rollouts = rolloutTraffic_,
               .protocol = adapter_.protocol,
               .metrics = metrics_,
               .bodyBudget = bodyBudget_,
@@ -217,6 +219,8 @@
     supervisor_->addChild("housekeeping", [this](StopToken &stop) { runHousekeeping(stop); });
     supervisor_->addChild("stall-checks", [this](StopToken &stop) { runStallChecks(stop); });
     supervisor_->addChild("peer-copies", [this](StopToken &stop) { runPeerCopies(stop); });
+    if (settings_.rollouts)
+        supervisor_->addChild("rollouts", [this](StopToken &stop) { runRollouts(stop); });
     startDuties();
 }
 
@@ -297,6 +301,7 @@
     }
     settings_.seeds = settings.value().seeds;
     settings_.bounds = settings.value().bounds;
+    rolloutTraffic_.setSettings({settings_.bounds.exposureShare, settings_.bounds.exposureSlack});
     settings_.logLevel = settings.value().logLevel;
     setUpLogging(self_.id.value(), settings_.parsedLogLevel(), LogStream::StandardOutput);
     logEvent(LogLevel::Info, "reloaded", {{"log_level", settings_.logLevel}});
--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -13,6 +13,8 @@
 #include "jy_gateway/registry/Registration.h"
 #include "jy_gateway/registry/StoreSync.h"
 #include "jy_gateway/relay/RequestRelay.h"
+#include "jy_gateway/rollouts/RolloutJudge.h"
+#include "jy_gateway/rollouts/RolloutTraffic.h"
 #include "jy_gateway/settings/GatewaySettings.h"
 #include "jy_http/server/HttpServer.h"
 #include "jy_runtime/supervision/Supervisor.h"
@@ -89,6 +91,17 @@
     std::vector<ScalableService> scalableServices() const;
     void sendUsage(const UsageMessage &usage, const RegisteredInstance &receiver);
 
+    void runRollouts(StopToken &stop);
+
+    /** Instances that judge the rollouts of a service, in the order in which they act. */
+    std::vector<RegisteredInstance> judgesOf(const ServiceId &service) const;
+    void receiveOutcomes(const InstanceId &from, std::uint64_t incarnation,
+                         const RolloutMessage &message);
+    void sendOutcomes(const RolloutView &rollout, const std::vector<RegisteredInstance> &judges);
+    void judge(const RolloutView &rollout, std::size_t rank, TimePoint now);
+    void advance(const RolloutView &rollout, const RolloutStep &step);
+    RolloutSituation situationOf(const RolloutView &rollout, TimePoint now) const;
+
     void merge(const StoreItem &item);
     void stateChanged();
     void storeLost(const Error &error);
@@ -162,6 +175,21 @@
     ServerChooser chooser_;
     PromptCacheIndex prompts_;
     DutyRunner duties_;
+    RolloutTraffic rolloutTraffic_;
+
+    /** Judgement of the rollout of a service. */
+    struct JudgedRollout
+    {
+        std::uint64_t order = 0;
+        RolloutJudge judge;
+
+        /** Since when a step is due that the store does not show yet. */
+        std::optional<TimePoint> dueSince;
+    };
+    JudgedRollout &judgedRollout(const RolloutView &rollout);
+
+    std::map<ServiceId, JudgedRollout> judgedRollouts_;
+    TimePoint outcomesDue_;
     RequestRelay relay_;
 
     std::unique_ptr<HttpServer> callerServer_;
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -7,6 +7,7 @@
 #include "jy_gateway/peers/PeerGroups.h"
 #include "jy_gateway/registry/InstanceEntry.h"
 #include "jy_gateway/registry/StoreCopy.h"
+#include "jy_gateway/rollouts/RolloutProgressEntry.h"
 #include "jy_runtime/logging/Log.h"
 
 #include <absl/strings/numbers.h>
@@ -103,6 +104,15 @@
         logEvent(LogLevel::Info, "rollout-withdrawn",
                  {{"service", change.service}, {"revision", revision}});
     }
+    void operator()(const RolloutProgressWritten &change) const
+    {
+        logEvent(LogLevel::Info, "rollout-progress",
+                 {{"service", change.progress.service},
+                  {"phase", toString(change.progress.phase)},
+                  {"reason", change.progress.reason},
+                  {"order", change.progress.order},
+                  {"revision", revision}});
+    }
     void operator()(const RolloutReportWritten &change) const
     {
         logEvent(LogLevel::Info, "rollout-reported",
@@ -131,6 +141,10 @@
         return;
     }
     auto change = decodeInstance(item);
+    if (!change) {
+        if (auto progress = decodeRolloutProgress(item))
+            change = RolloutProgressWritten{std::move(*progress)};
+    }
     if (!change)
         change = adapter_.decode(item);
     if (!change)
@@ -257,6 +271,10 @@
         duties_.receive(*heartbeat.value().usage);
         return;
     }
+    if (heartbeat.value().rollout) {
+        receiveOutcomes(id, heartbeat.value().incarnation, *heartbeat.value().rollout);
+        return;
+    }
     if (heartbeat.value().wallTime && id != self_.id)
         fleetClock_.addSample(id, *heartbeat.value().wallTime, bootTime());
     for (const auto &[server, startTimeMs] : heartbeat.value().leaving) {
@@ -393,6 +411,8 @@
         quarantine_.setInstances(live);
         quarantine_.setObjectionTime(peers_.responseTime());
         rateLimits_.setInstances(live);
+        rolloutTraffic_.setInstances(live.size());
+        rolloutTraffic_.setInContact(sync_.inContact());
         cold_.setInstances(std::move(live));
         chooser_.setReportAge(peers_.reportAge());
         std::set<ServerId> known;
--- a/modules/jy_gateway/model/FleetChange.h
+++ b/modules/jy_gateway/model/FleetChange.h
@@ -2,6 +2,7 @@
 
 #include "jy_base/ids/Ids.h"
 #include "jy_base/net/Endpoint.h"
+#include "jy_base/time/TimeTypes.h"
 #include "jy_gateway/model/RoutingConfig.h"
 
 #include <chrono>
@@ -71,6 +72,9 @@
     /** Time from the request to its deadline. */
     std::chrono::milliseconds duration{0};
 
+    /** Store revision of the request, which tells it from an earlier one for the same version. */
+    std::uint64_t revision = 0;
+
     bool operator==(const RolloutOrder &) const = default;
 };
 
@@ -90,6 +94,36 @@
     bool operator==(const RolloutReport &) const = default;
 };
 
+/** Step of a rollout; only the analysis and the move send requests to both versions. */
+enum class RolloutPhase {
+    Analyzing, /**< a small share of the requests goes to the new version */
+    Moving, /**< requests move to the new version step by step */
+    Completed,
+    Reverted,
+};
+
+/** Progress of a rollout, which all instances follow. */
+struct RolloutProgress
+{
+    ServiceId service;
+
+    /** Revision of the order that it belongs to. */
+    std::uint64_t order = 0;
+
+    RolloutPhase phase = RolloutPhase::Analyzing;
+
+    /** True time of the order. */
+    WallTime orderedAt;
+
+    /** Why the rollout is in this phase. */
+    std::string reason;
+
+    /** Store revision of the progress itself; not part of its encoding. */
+    std::uint64_t revision = 0;
+
+    bool operator==(const RolloutProgress &) const = default;
+};
+
 struct ConfigWritten
 {
     std::shared_ptr<const RoutingConfig> config;
@@ -129,11 +163,19 @@
 struct RolloutReportWritten
 {
     RolloutReport report;
+
+    /** Store revision of the report. */
+    std::uint64_t revision = 0;
+};
+struct RolloutProgressWritten
+{
+    RolloutProgress progress;
 };
 
 /** A decoded change in the shared store. */
-using FleetChange = std::variant<ConfigWritten, ServerWritten, ServerRemoved, EvacuationWritten,
-                                 EvacuationRemoved, InstanceWritten, InstanceRemoved,
-                                 RolloutWritten, RolloutRemoved, RolloutReportWritten>;
+using FleetChange =
+    std::variant<ConfigWritten, ServerWritten, ServerRemoved, EvacuationWritten, EvacuationRemoved,
+                 InstanceWritten, InstanceRemoved, RolloutWritten, RolloutRemoved,
+                 RolloutReportWritten, RolloutProgressWritten>;
 
 } // namespace jy
--- a/modules/jy_gateway/peers/HeartbeatCodec.cpp
+++ b/modules/jy_gateway/peers/HeartbeatCodec.cpp
@@ -352,6 +352,37 @@
     return usage;
 }
 
+void addRollout(const RolloutMessage &rollout, wire::Beat &message)
+{
+    auto *encoded = message.mutable_rollout();
+    encoded->set_service(rollout.service.value());
+    encoded->set_order(rollout.order);
+    const auto addRoutes = [&](const std::map<std::string, RolloutCounts> &routes, bool target) {
+        for (const auto &[name, counts] : routes) {
+            auto *route = encoded->add_routes();
+            route->set_name(name);
+            route->set_target_version(target);
+            route->set_requests(counts.requests);
+            route->set_errors(counts.errors);
+            route->set_timed(counts.timed);
+            route->set_slow(counts.slow);
+        }
+    };
+    addRoutes(rollout.outcomes.target, true);
+    addRoutes(rollout.outcomes.current, false);
+}
+
+RolloutMessage readRollout(const wire::Beat &message)
+{
+    const auto &encoded = message.rollout();
+    RolloutMessage rollout{.service = ServiceId(encoded.service()), .order = encoded.order()};
+    for (const auto &route : encoded.routes()) {
+        auto &routes = route.target_version() ? rollout.outcomes.target : rollout.outcomes.current;
+        routes[route.name()] = {route.requests(), route.errors(), route.timed(), route.slow()};
+    }
+    return rollout;
+}
+
 } // namespace
 
 std::string encodeHeartbeat(const Heartbeat &heartbeat)
@@ -369,6 +400,12 @@
         addUsage(*heartbeat.usage, message);
         return message.SerializeAsString();
     }
+    if (heartbeat.rollout) {
+        message.set_brief(true);
+        message.set_instance_hash(peerHash(heartbeat.instance.id));
+        addRollout(*heartbeat.rollout, message);
+        return message.SerializeAsString();
+    }
     addLeaving(heartbeat.leaving, message);
     addCached(heartbeat.cached, message);
     addStalled(heartbeat.stalled, message);
@@ -428,6 +465,8 @@
         heartbeat.instance.id = *id;
         if (message.has_usage())
             heartbeat.usage = readUsage(message, *id);
+        else if (message.has_rollout())
+            heartbeat.rollout = readRollout(message);
         else if (message.has_group())
             heartbeat.group = readGroup(message, findServer);
         else
--- a/modules/jy_gateway/peers/PeerTable.h
+++ b/modules/jy_gateway/peers/PeerTable.h
@@ -9,6 +9,7 @@
 #include "jy_gateway/placement/PromptCacheIndex.h"
 #include "jy_gateway/placement/ServerHealth.h"
 #include "jy_gateway/registry/FleetView.h"
+#include "jy_gateway/rollouts/RolloutTraffic.h"
 
 #include <cstdint>
 #include <map>
@@ -73,6 +74,9 @@
 
     /** Usage counts of the sender; the message then contains nothing else. */
     std::optional<UsageMessage> usage;
+
+    /** Outcomes of a rollout at the sender; the message then contains nothing else. */
+    std::optional<RolloutMessage> rollout;
 };
 
 /** Hash that identifies an instance in brief heartbeats and reports, in place of its id. */
--- a/modules/jy_gateway/placement/ServerChooser.cpp
+++ b/modules/jy_gateway/placement/ServerChooser.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace jy {
 
@@ -75,7 +76,7 @@
 std::vector<ServerChooser::Candidate>
 ServerChooser::findCandidates(const PlacementQuery &query, TimePoint now, Placement &result)
 {
-    const auto available = fleet_.candidates(query.service, now);
+    const auto available = permittedServers(query, now);
     const auto *policy = fleet_.config() ? fleet_.config()->findService(query.service) : nullptr;
     const auto failureRates = this->failureRates(available, now);
     const double usualRate = median(failureRates);
@@ -140,6 +141,19 @@
     return all;
 }
 
+std::vector<const ServerState *> ServerChooser::permittedServers(const PlacementQuery &query,
+                                                                 TimePoint now) const
+{
+    auto servers = fleet_.candidates(query.service, now, query.versions);
+    if (query.mostServers == 0 || servers.size() <= query.mostServers)
+        return servers;
+    std::ranges::sort(servers, {}, [](const ServerState *server) {
+        return std::pair(stableHash(server->entry.id.value()), server->entry.id);
+    });
+    servers.resize(query.mostServers);
+    return servers;
+}
+
 double ServerChooser::meanLoad(const ServiceId &service, TimePoint now) const
 {
     int total = 1;
--- a/modules/jy_gateway/placement/ServerChooser.h
+++ b/modules/jy_gateway/placement/ServerChooser.h
@@ -34,6 +34,13 @@
 
     /** Servers that earlier attempts of this request were sent to. */
     std::set<ServerId> tried;
+
+    /** Versions that may get the request during a rollout. */
+    VersionGroup versions = VersionGroup::Any;
+
+    /** Maximum number of servers of these versions to choose from, the same ones on every instance;
+     * 0 for no limit. */
+    std::size_t mostServers = 0;
 };
 
 enum class PlacementReason {
@@ -148,6 +155,10 @@
         bool limited = false;
     };
 
+    /** @returns the eligible servers of the versions that the query permits */
+    std::vector<const ServerState *> permittedServers(const PlacementQuery &query,
+                                                      TimePoint now) const;
+
     /** Mean over all servers of the service without a limit of their own, including the new
      * request. Cold and evacuated servers count too, because the load bound is relative to all
      * servers. */
--- a/modules/jy_gateway/registry/FleetView.cpp
+++ b/modules/jy_gateway/registry/FleetView.cpp
@@ -4,6 +4,18 @@
 
 namespace jy {
 
+bool RolloutView::completed() const
+{
+    return (report && report->state == RolloutState::Completed)
+        || (progress && progress->phase == RolloutPhase::Completed);
+}
+
+bool RolloutView::underWay() const
+{
+    return !completed() && progress
+        && (progress->phase == RolloutPhase::Analyzing || progress->phase == RolloutPhase::Moving);
+}
+
 void FleetView::apply(const FleetChange &change, TimePoint now)
 {
     std::visit([&](const auto &typed) { on(typed, now); }, change);
@@ -58,23 +70,51 @@
     return found == servers_.end() ? nullptr : &found->second;
 }
 
-bool FleetView::isEligible(const ServerState &server, TimePoint now) const
+bool FleetView::isReady(const ServerState &server, TimePoint now) const
 {
     const bool gone = server.leaving || (server.removalDue && *server.removalDue <= now);
-    return !gone && !evacuated_.contains(server.entry.domain) && versionAllowed(server.entry);
+    return !gone && !evacuated_.contains(server.entry.domain);
+}
+
+bool FleetView::isEligible(const ServerState &server, TimePoint now) const
+{
+    return isReady(server, now) && versionAllowed(server.entry);
+}
+
+std::size_t FleetView::readyTargets(const ServiceId &service, TimePoint now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(servers_, [&](const auto &entry) {
+        const auto &state = entry.second;
+        return state.entry.service == service && isTarget(state.entry) && isReady(state, now);
+    }));
 }
 
-std::vector<const ServerState *> FleetView::candidates(const ServiceId &service,
-                                                       TimePoint now) const
+std::vector<const ServerState *> FleetView::candidates(const ServiceId &service, TimePoint now,
+                                                       VersionGroup group) const
 {
     std::vector<const ServerState *> result;
     for (const auto &[id, state] : servers_) {
-        if (state.entry.service == service && isEligible(state, now))
-            result.push_back(&state);
+        if (state.entry.service != service || !isEligible(state, now))
+            continue;
+        if (group != VersionGroup::Any && isTarget(state.entry) != (group == VersionGroup::Target))
+            continue;
+        result.push_back(&state);
     }
     return result;
 }
 
+bool FleetView::isTarget(const RegisteredServer &server) const
+{
+    const auto found = rollouts_.find(server.service);
+    return found != rollouts_.end() && server.version == found->second.order.target;
+}
+
+std::uint64_t FleetView::progressRevision(const ServiceId &service) const
+{
+    const auto found = progressRevisions_.find(service);
+    return found == progressRevisions_.end() ? 0 : found->second;
+}
+
 std::vector<const ServerState *> FleetView::serversOf(const ServiceId &service) const
 {
     std::vector<const ServerState *> result;
@@ -167,10 +207,10 @@
 void FleetView::on(const RolloutWritten &change, TimePoint now)
 {
     auto &rollout = rollouts_[change.order.service];
-    rollout.order = change.order;
-    rollout.seen = now;
-    if (rollout.report && rollout.report->target != change.order.target)
-        rollout.report.reset();
+    // The same order again: the list of the store was read once more.
+    if (rollout.order == change.order)
+        return;
+    rollout = {.order = change.order, .seen = now};
 }
 
 void FleetView::on(const RolloutRemoved &change, TimePoint)
@@ -181,10 +221,26 @@
 void FleetView::on(const RolloutReportWritten &change, TimePoint)
 {
     const auto found = rollouts_.find(change.report.service);
-    if (found != rollouts_.end() && found->second.order.target == change.report.target)
+    if (found == rollouts_.end() || found->second.order.target != change.report.target)
+        return;
+    // An older report belongs to an earlier order for the same version.
+    if (change.revision >= found->second.order.revision)
         found->second.report = change.report;
 }
 
+void FleetView::on(const RolloutProgressWritten &change, TimePoint now)
+{
+    const auto &progress = change.progress;
+    progressRevisions_[progress.service] = progress.revision;
+    const auto found = rollouts_.find(progress.service);
+    if (found == rollouts_.end() || found->second.order.revision != progress.order)
+        return;
+    auto &rollout = found->second;
+    if (!rollout.progress || rollout.progress->phase != progress.phase)
+        rollout.phaseSeen = now;
+    rollout.progress = progress;
+}
+
 std::chrono::milliseconds FleetView::coldDuration(const ServiceId &service) const
 {
     const auto *policy = config_ ? config_->findService(service) : nullptr;
@@ -194,13 +250,9 @@
 bool FleetView::versionAllowed(const RegisteredServer &server) const
 {
     const auto found = rollouts_.find(server.service);
-    if (found == rollouts_.end())
+    if (found == rollouts_.end() || found->second.underWay())
         return true;
-    const auto &rollout = found->second;
-    const bool isTarget = server.version == rollout.order.target;
-    if (rollout.report && rollout.report->state == RolloutState::Completed)
-        return isTarget;
-    return !isTarget;
+    return isTarget(server) == found->second.completed();
 }
 
 } // namespace jy
--- a/modules/jy_gateway/registry/FleetView.h
+++ b/modules/jy_gateway/registry/FleetView.h
@@ -40,6 +40,25 @@
     RolloutOrder order;
     TimePoint seen;
     std::optional<RolloutReport> report;
+
+    /** Set once the new version may get requests. */
+    std::optional<RolloutProgress> progress;
+
+    /** When this instance first read the current phase of the progress. */
+    TimePoint phaseSeen;
+
+    /** Whether the old version gets no requests any more. */
+    bool completed() const;
+
+    /** Whether both versions may get requests. */
+    bool underWay() const;
+};
+
+/** Servers of a service by their version in a rollout. */
+enum class VersionGroup {
+    Any,
+    Current, /**< all but the version that the rollout introduces */
+    Target, /**< the version that the rollout introduces */
 };
 
 /**
@@ -94,7 +113,15 @@
     bool isEligible(const ServerState &server, TimePoint now) const;
 
     /** Servers of a service that are eligible for new requests. */
-    std::vector<const ServerState *> candidates(const ServiceId &service, TimePoint now) const;
+    std::vector<const ServerState *> candidates(const ServiceId &service, TimePoint now,
+                                                VersionGroup group = VersionGroup::Any) const;
+
+    /** Whether a server has the version that a rollout of its service introduces. */
+    bool isTarget(const RegisteredServer &server) const;
+
+    /** Number of servers of the version that a rollout introduces which are neither leaving nor
+     * gone nor in an evacuated failure domain, whether or not they may get requests already. */
+    std::size_t readyTargets(const ServiceId &service, TimePoint now) const;
 
     /** All servers of a service, eligible or not. */
     std::vector<const ServerState *> serversOf(const ServiceId &service) const;
@@ -107,6 +134,9 @@
     const std::set<DomainId> &evacuated() const { return evacuated_; }
     const std::map<ServiceId, RolloutView> &rollouts() const { return rollouts_; }
 
+    /** Store revision of the stored progress of a service's rollouts; 0 if there is none. */
+    std::uint64_t progressRevision(const ServiceId &service) const;
+
 private:
     void on(const ConfigWritten &change, TimePoint now);
     void on(const ServerWritten &change, TimePoint now);
@@ -118,9 +148,11 @@
     void on(const RolloutWritten &change, TimePoint now);
     void on(const RolloutRemoved &change, TimePoint now);
     void on(const RolloutReportWritten &change, TimePoint now);
+    void on(const RolloutProgressWritten &change, TimePoint now);
 
     std::chrono::milliseconds coldDuration(const ServiceId &service) const;
     bool versionAllowed(const RegisteredServer &server) const;
+    bool isReady(const ServerState &server, TimePoint now) const;
 
     std::shared_ptr<const RoutingConfig> config_;
     std::map<ServerId, ServerState> servers_;
@@ -130,6 +162,9 @@
     std::map<InstanceId, RegisteredInstance> instances_;
     std::set<DomainId> evacuated_;
     std::map<ServiceId, RolloutView> rollouts_;
+
+    /** Latest revision of each progress, also of those that belong to earlier orders. */
+    std::map<ServiceId, std::uint64_t> progressRevisions_;
     TimePoint entriesUncertainUntil_;
 };
 
--- a/modules/jy_gateway/relay/RelayEvidence.cpp
+++ b/modules/jy_gateway/relay/RelayEvidence.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/str_join.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -15,8 +16,38 @@
 using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
+// A stream of fewer parts does not show the usual pause between its events.
+constexpr std::size_t minPartsForPause = 3;
+
+// Parts of a stream whose times are kept; their pauses show the speed of its server.
+constexpr std::size_t maxPartTimes = 24;
+
 } // namespace
 
+Placement RelayExchange::place()
+{
+    auto &dependencies = relay_.dependencies_;
+    const auto now = Clock::now();
+    const auto &service = query_.service;
+    const auto choose = [&](VersionGroup versions) {
+        query_.versions = versions;
+        const auto &fleet = dependencies.fleet;
+        query_.mostServers = versions == VersionGroup::Target
+            ? dependencies.rollouts.mostServers(
+                service, fleet.candidates(service, now, VersionGroup::Target).size())
+            : 0;
+        return dependencies.chooser.choose(query_, relay_.draw(), now);
+    };
+    const auto assigned = outcome_.attempts == 0
+        ? dependencies.rollouts.assign(service, query_.affinity, relay_.draw(), now)
+        : dependencies.rollouts.retryGroup(service);
+    auto placement = choose(assigned);
+    const auto other = dependencies.rollouts.retryGroup(service);
+    if (placement.server.empty() && assigned != other)
+        placement = choose(other);
+    return placement;
+}
+
 void RelayExchange::noteBroken(const ServerId &server, BreakPoint point)
 {
     const auto now = Clock::now();
@@ -76,9 +107,45 @@
 void RelayExchange::recordCompleted(const ServerId &server)
 {
     record(server, ServerOutcome::Succeeded);
+    recordForRollout(true);
     relay_.dependencies_.quarantine.responseCompleted(parts_, Clock::now());
 }
 
+void RelayExchange::beginSample(const ServerState &server)
+{
+    attemptServer_ = server.entry;
+    promptCached_ = query_.affinity == 0
+        || std::ranges::any_of(query_.holders, [&](const PromptCacheLocation &holder) {
+                        return holder.server == server.entry.id && holder.lastUsed >= server.since;
+                    });
+    partTimes_.clear();
+}
+
+void RelayExchange::notePart(TimePoint received)
+{
+    if (partTimes_.size() < maxPartTimes)
+        partTimes_.push_back(received);
+}
+
+void RelayExchange::recordForRollout(bool ok)
+{
+    using std::chrono::microseconds;
+    RolloutSample sample{.route = route_.name, .ok = ok, .target = route_.latencyTarget};
+    if (promptCached_) {
+        const auto first = partTimes_.empty() ? Clock::now() : partTimes_.front();
+        sample.first = std::chrono::duration_cast<microseconds>(first - attemptStart_);
+    }
+    if (partTimes_.size() >= minPartsForPause) {
+        std::vector<Duration> pauses;
+        for (std::size_t i = 1; i < partTimes_.size(); ++i)
+            pauses.push_back(partTimes_[i] - partTimes_[i - 1]);
+        const auto middle = pauses.begin() + static_cast<std::ptrdiff_t>((pauses.size() - 1) / 2);
+        std::ranges::nth_element(pauses, middle);
+        sample.pause = std::chrono::duration_cast<microseconds>(*middle);
+    }
+    relay_.dependencies_.rollouts.record(attemptServer_, sample);
+}
+
 void RelayExchange::recordWait()
 {
     relay_.waits_.add(route_.name, std::chrono::ceil<milliseconds>(Clock::now() - attemptStart_));
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -79,8 +79,7 @@
             refuseQuarantined(*wait);
             break;
         }
-        const auto placement =
-            relay_.dependencies_.chooser.choose(query_, relay_.draw(), Clock::now());
+        const auto placement = place();
         if (placement.server.empty()) {
             outcome_.placement = placement.reason;
             refuse(placement);
@@ -110,6 +109,7 @@
     // A copy: the entry may be removed while this fiber is suspended.
     const auto registered = server->entry;
     const auto outgoingRequest = outgoing(*server, placement.copySource);
+    beginSample(*server);
     query_.tried.insert(registered.id);
     outcome_.server = registered.id;
     outcome_.placement = placement.reason;
@@ -227,10 +227,14 @@
                       {"waited_ms", Clock::now() - attemptStart_}});
             // Recorded here because the server may have no other request left that would time out.
             record(server, ServerOutcome::TimedOut);
+            recordForRollout(false);
             mayHaveRun_ = true;
             lastError_ = {ErrorKind::DeadlineExceeded, "the backend server is silent", {}};
             return Step::MayHaveRun;
         }
+        // A caller that leaves a silent server shows the same as a timeout.
+        if (!responseStarted_ && Clock::now() - attemptStart_ > silenceTimeout_)
+            recordForRollout(false);
         outcome_.reason = "caller-gone";
         return Step::Done;
     case ErrorKind::ConnectFailed:
@@ -240,6 +244,7 @@
     case ErrorKind::Overloaded:
         return Step::NotSent;
     case ErrorKind::DeadlineExceeded:
+        recordForRollout(false);
         // A wait that is usual for the route is not the server's fault.
         if (Clock::now() - attemptStart_ > silenceTimeout_)
             record(server, ServerOutcome::TimedOut);
@@ -251,6 +256,7 @@
         // The response was lost, so the server has most likely begun to run the request.
         noteBegan(sentAt_);
         record(server, ServerOutcome::Failed);
+        recordForRollout(false);
         mayHaveRun_ = true;
         return Step::MayHaveRun;
     }
@@ -318,8 +324,10 @@
     outcome_.firstPart = Clock::now() - start_;
     if (response.status / 100 == 2)
         recordCompleted(server);
-    else
+    else {
         record(server, failed ? ServerOutcome::Failed : ServerOutcome::Succeeded);
+        recordForRollout(!failed);
+    }
     if (failed && route_.repeatable()) {
         mayHaveRun_ = true;
         serverFailure_ = std::move(response);
@@ -400,6 +408,7 @@
         else
             outcome_.longestPause = std::max(outcome_.longestPause, received - lastPart_);
         lastPart_ = received;
+        notePart(received);
         if (!responseStarted_) {
             responseStarted_ = true;
             noteBegan(received);
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -80,6 +80,18 @@
     /** Records a complete response with a success. */
     void recordCompleted(const ServerId &server);
 
+    /** Chooses a server of the version that a rollout assigns to the request, or of another one if
+     * none of these can take it. */
+    Placement place();
+
+    /** Begins to observe an attempt for recordForRollout(). */
+    void beginSample(const ServerState &server);
+
+    void notePart(TimePoint received);
+
+    /** Records what the current attempt shows about the version of its server. */
+    void recordForRollout(bool ok);
+
     /** Reports once for each attempt that its server began to run it at @p time. */
     void noteBegan(TimePoint time);
     void recordWait();
@@ -131,6 +143,12 @@
     TimePoint sentAt_;
     bool began_ = false;
 
+    /** Server of the current attempt, whether it was known to have the prompt cached, and when the
+     * first parts of its stream arrived. */
+    RegisteredServer attemptServer_;
+    bool promptCached_ = false;
+    std::vector<TimePoint> partTimes_;
+
     /** Start of the current attempt, and the wait after which its server counts as silent. */
     TimePoint attemptStart_;
     std::chrono::milliseconds silenceTimeout_{0};
--- a/modules/jy_gateway/relay/RequestRelay.h
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -7,6 +7,7 @@
 #include "jy_gateway/placement/ServerChooser.h"
 #include "jy_gateway/relay/LogRateLimiter.h"
 #include "jy_gateway/relay/RouteWaits.h"
+#include "jy_gateway/rollouts/RolloutTraffic.h"
 #include "jy_http/client/HttpClient.h"
 #include "jy_http/messages/ByteBudget.h"
 #include "jy_http/server/HttpResponder.h"
@@ -88,6 +89,7 @@
     StallDetector &stalls;
     PromptQuarantine &quarantine;
     ServerRateLimits &rateLimits;
+    RolloutTraffic &rollouts;
     const CallerProtocol &protocol;
     Metrics &metrics;
 
--- a/modules/jy_gateway/settings/GatewaySettings.cpp
+++ b/modules/jy_gateway/settings/GatewaySettings.cpp
@@ -31,6 +31,13 @@
         {"directoryLifetimeSeconds",
          "Lifetime of a directory response; callers may cache its addresses for this time."},
         directoryLifetimeSeconds, {1, 3600});
+    visitor.number({"exposureShare",
+                    "Fraction of a service's requests that a version may get before it has passed "
+                    "its analysis."},
+                   exposureShare, {0, 1});
+    visitor.number(
+        {"exposureSlack", "Requests that such a version may get in addition to this fraction."},
+        exposureSlack, {0, 1'000'000});
 }
 
 void GatewayLimitSettings::describe(SettingsVisitor &visitor)
@@ -87,6 +94,10 @@
     visitor.structure({"bounds", "Operational bounds set by the deployment."}, bounds);
     visitor.structure({"limits", "Resource limits of this instance."}, limits);
     visitor.structure({"duties", "Duties that one instance at a time performs."}, duties);
+    visitor.flag({"rollouts",
+                  "Whether this instance analyzes new versions and carries out rollouts; without, "
+                  "a new version gets no requests."},
+                 rollouts);
     visitor.choice({"logLevel", "Minimum level of the lines logged; reread on SIGHUP."}, logLevel,
                    {"debug", "info", "warn", "error"});
 }
--- a/modules/jy_gateway/settings/GatewaySettings.h
+++ b/modules/jy_gateway/settings/GatewaySettings.h
@@ -29,6 +29,11 @@
     /** Lifetime of a directory response; callers may cache its addresses for this time. */
     int directoryLifetimeSeconds = 2;
 
+    /** Fraction of a service's requests, and requests in addition, that a version may get before
+     * it has passed its analysis. */
+    double exposureShare = 0.1;
+    double exposureSlack = 50;
+
     void describe(SettingsVisitor &visitor);
 };
 
@@ -94,6 +99,10 @@
     GatewayBoundSettings bounds;
     GatewayLimitSettings limits;
     GatewayDutySettings duties;
+
+    /** Whether this instance carries out rollouts; without, a new version gets no requests. */
+    bool rollouts = false;
+
     std::string logLevel = "info";
 
     void describe(SettingsVisitor &visitor);
--- a/tests/jy_gateway/PeerFormatTest.cpp
+++ b/tests/jy_gateway/PeerFormatTest.cpp
@@ -132,6 +132,23 @@
                                                     }}),
                          [](const auto &testCase) { return testCase.param.name; });
 
+// A build that does not know outcomes of rollouts must see an old message of a known instance,
+// which it ignores by its sequence number.
+TEST(RolloutFormatTest, LandedBuildReadsAnEmptyMessage)
+{
+    LandedBuild landedBuild;
+    const RolloutMessage sent{ServiceId("s"), 5, {.target = {{"a", {9, 1, 8, 2}}}}};
+    const auto bytes =
+        encodeHeartbeat({.instance = {.id = sender}, .incarnation = 3, .rollout = sent});
+    const auto received = decode(bytes);
+    ASSERT_TRUE(received && received.value().rollout);
+    EXPECT_EQ(received.value().rollout->outcomes, sent.outcomes);
+    const auto ofLanded = decode(landedBuild.readAndWrite(bytes));
+    ASSERT_TRUE(ofLanded);
+    EXPECT_FALSE(ofLanded.value().rollout);
+    EXPECT_EQ(ofLanded.value().sequence, 0U);
+}
+
 TEST(StoredFormatTest, FieldsOfLaterBuildsArePassedOver)
 {
     const auto entry = decodeInstance(
--- a/tests/jy_gateway/RelayFixture.h
+++ b/tests/jy_gateway/RelayFixture.h
@@ -76,6 +76,7 @@
                   .stalls = stalls,
                   .quarantine = quarantine_,
                   .rateLimits = rateLimits_,
+                  .rollouts = rollouts,
                   .protocol = protocol_,
                   .metrics = metrics_,
                   .bodyBudget = budget,
@@ -165,6 +166,8 @@
 
     FleetView fleet;
 
+    RolloutTraffic rollouts{fleet, {}};
+
     /** Called while a request waits for the first configuration. */
     std::function<void(milliseconds longest)> awaitConfig = [](milliseconds) {};
     double retryRate = 10;
