Read the era of the store from its responses and log restores

The logs showed revisions, but not to which state of the store they belong. The header Store-Era of each response is decoded in the adapter; StoreEraTracker keeps the latest era; a restore is logged as store-restored. StorePage names its era. Nothing acts on it yet.

--- a/modules/jy_gateway/adapter/SharedStore.h
+++ b/modules/jy_gateway/adapter/SharedStore.h
@@ -10,6 +10,13 @@
 
 namespace jy {
 
+/**
+ * Number of times that the store came back from an older copy. Such a restore loses what was
+ * written since the copy, and revisions and lease identifiers are given out again, so they can be
+ * compared within one era only. 0 if the store states no era.
+ */
+using StoreEra = std::uint64_t;
+
 /** A key of the shared store with its value, or the removal of a key. */
 struct StoreItem
 {
@@ -28,6 +35,9 @@
     std::vector<StoreItem> items;
     std::uint64_t asOf = 0;
 
+    /** Era of the revisions. */
+    StoreEra era = 0;
+
     /** More keys follow; list again after the last one. */
     bool truncated = false;
 };
--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -94,7 +94,9 @@
     , serverClient_(HttpClient::create(
           loop,
           {.connectTimeout = RelaySettings{}.connectTimeout, .idleTimeout = serverIdleTimeout}))
-    , store_(adapter_.openStore(*storeClient_, settings_.store))
+    , era_([this](StoreEra before, StoreEra now) { storeRestored(before, now); })
+    , store_(adapter_.openStore(*storeClient_, settings_.store,
+                                [this](StoreEra era) { era_.observe(era); }))
     , storeReader_(store_, *storeClient_, [this] { return storeReaderEndpoints(); }, {})
     , readStore_(storeReader_.store())
     , mirror_([this](const StoreItem &item) { merge(item); },
--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -11,6 +11,7 @@
 #include "jy_gateway/peers/PeerTable.h"
 #include "jy_gateway/registry/PeerStoreReader.h"
 #include "jy_gateway/registry/Registration.h"
+#include "jy_gateway/registry/StoreEraTracker.h"
 #include "jy_gateway/registry/StoreSync.h"
 #include "jy_gateway/relay/RequestRelay.h"
 #include "jy_gateway/rollouts/RolloutJudge.h"
@@ -32,7 +33,10 @@
 struct PlatformAdapter
 {
     CallerProtocol protocol;
-    std::function<SharedStore(HttpClient &, const Endpoint &)> openStore;
+    /** Opens the store at an address. The hook is called with the era of each response. */
+    std::function<SharedStore(HttpClient &, const Endpoint &,
+                              std::function<void(StoreEra)> eraSeen)>
+        openStore;
 
     /** Decodes an item of the store. @returns nothing for items that do not concern the fleet. */
     std::function<std::optional<FleetChange>(const StoreItem &)> decode;
@@ -106,6 +110,7 @@
     void stateChanged();
     void storeLost(const Error &error);
     void storeReturned();
+    void storeRestored(StoreEra before, StoreEra now);
     enum class HeartbeatScope { OwnGroup, AllInstances };
 
     void receiveHeartbeat(std::string_view bytes);
@@ -139,6 +144,7 @@
     std::unique_ptr<HttpClient> storeClient_;
     std::unique_ptr<HttpClient> dutyClient_;
     std::unique_ptr<HttpClient> serverClient_;
+    StoreEraTracker era_;
     SharedStore store_;
     PeerStoreReader storeReader_;
     SharedStore readStore_;
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -250,6 +250,12 @@
     fleet_.storeReturned(Clock::now());
 }
 
+void Gateway::storeRestored(StoreEra before, StoreEra now)
+{
+    logEvent(LogLevel::Warn, "store-restored",
+             {{"era_before", before}, {"era", now}, {"revision", mirror_.revision()}});
+}
+
 void Gateway::receiveHeartbeat(std::string_view bytes)
 {
     const auto findServer = [this](std::uint32_t hash) {
--- a/modules/jy_gateway/jy_gateway.h
+++ b/modules/jy_gateway/jy_gateway.h
@@ -41,6 +41,7 @@
 #include "jy_gateway/registry/InstanceRanking.h"
 #include "jy_gateway/registry/Registration.h"
 #include "jy_gateway/registry/StoreCopy.h"
+#include "jy_gateway/registry/StoreEraTracker.h"
 #include "jy_gateway/registry/StoreMirror.h"
 #include "jy_gateway/registry/StoreSync.h"
 #include "jy_gateway/relay/EventSplitter.h"
--- /dev/null
+++ b/modules/jy_gateway/registry/StoreEraTracker.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "jy_gateway/adapter/SharedStore.h"
+
+#include <functional>
+#include <optional>
+
+namespace jy {
+
+/**
+ * Keeps the latest era that any response of the store or of another instance has shown.
+ *
+ * Responses of different connections may overtake each other, so an earlier era is ignored.
+ */
+class StoreEraTracker
+{
+public:
+    /** Called when the store was restored, before the response that shows it is used. */
+    using Observer = std::function<void(StoreEra before, StoreEra now)>;
+
+    explicit StoreEraTracker(Observer restored);
+
+    void observe(StoreEra era);
+
+    /** 0 before the first response, and as long as the store states no era. */
+    StoreEra current() const { return current_.value_or(0); }
+
+private:
+    Observer restored_;
+    std::optional<StoreEra> current_;
+};
+
+} // namespace jy
