--- a/modules/jy_gateway/adapter/SharedStore.h
+++ b/modules/jy_gateway/adapter/SharedStore.h
@@ -3,6 +3,7 @@
 #include "jy_base/errors/Error.h"
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -17,6 +18,16 @@
  */
 using StoreEra = std::uint64_t;
 
+/** A state of the store. Ordered by era first, because revisions start again lower after a restore.
+ */
+struct StorePosition
+{
+    StoreEra era = 0;
+    std::uint64_t revision = 0;
+
+    auto operator<=>(const StorePosition &) const = default;
+};
+
 /** A key of the shared store with its value, or the removal of a key. */
 struct StoreItem
 {
@@ -27,6 +38,8 @@
     std::uint64_t revision = 0;
 
     bool removed = false;
+
+    bool operator==(const StoreItem &) const = default;
 };
 
 /** Items and the store revision that they reflect. */
@@ -40,6 +53,8 @@
 
     /** More keys follow; list again after the last one. */
     bool truncated = false;
+
+    StorePosition position() const { return {era, asOf}; }
 };
 
 /** Requires that a key has the given revision; 0 requires that it does not exist. */
@@ -84,8 +99,11 @@
     /** Current items whose keys begin with @p prefix and follow @p after. */
     std::function<Result<StorePage>(const std::string &prefix, const std::string &after)> list;
 
-    /** Changes after @p revision; an empty page if there are none within @p wait. */
-    std::function<Result<StorePage>(const std::string &prefix, std::uint64_t revision,
+    /**
+     * Changes after a revision; an empty page if there are none within @p wait. The page may belong
+     * to a later era than @p after, and then does not continue from it.
+     */
+    std::function<Result<StorePage>(const std::string &prefix, StorePosition after,
                                     std::chrono::milliseconds wait)>
         watch;
 
--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -97,7 +97,7 @@
     , era_([this](StoreEra before, StoreEra now) { storeRestored(before, now); })
     , store_(adapter_.openStore(*storeClient_, settings_.store,
                                 [this](StoreEra era) { era_.observe(era); }))
-    , storeReader_(store_, *storeClient_, [this] { return storeReaderEndpoints(); }, {})
+    , storeReader_(store_, *storeClient_, era_, [this] { return storeReaderEndpoints(); }, {})
     , readStore_(storeReader_.store())
     , mirror_([this](const StoreItem &item) { merge(item); },
               [](std::string_view key) { return !key.starts_with(dutyStateKeys); })
@@ -105,7 +105,8 @@
             {.lost = [this](const Error &error) { storeLost(error); },
              .returned = [this] { storeReturned(); },
              .merged = [this] { stateChanged(); },
-             .readsStore = [this] { return storeReader_.readsDirectly(); }})
+             .readsStore = [this] { return storeReader_.readsDirectly(); },
+             .latestEra = [this] { return era_.current(); }})
     , registration_(store_, instanceKey(self_.id), encodeInstance(self_), {})
     , peers_(self_.id)
     , incarnation_(unixMilliseconds())
@@ -257,8 +258,7 @@
         responder.send(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                        metrics_.prometheusText());
     else if (request.path() == storeCopyPath && fleet_.config())
-        responder.send(200, {{"Content-Type", "application/zstd"}},
-                       encodeStoreCopy(makeStoreCopy(mirror_.items())));
+        handleStoreCopy(responder);
     else if (request.path() == storeChangesPath)
         handleStoreChanges(request, responder);
     else
--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -84,6 +84,10 @@
     bool isFull(const ServerId &server) const;
     void awaitConfig(std::chrono::milliseconds longest);
     StoreCopy makeStoreCopy(std::vector<StoreItem> items) const;
+
+    /** Whether the store was restored and no list was read since. */
+    bool copyIsOutdated() const;
+    void handleStoreCopy(HttpResponder &responder);
     std::vector<Endpoint> storeReaderEndpoints() const;
 
     /** Instances that are alive, including this one. */
@@ -108,6 +112,7 @@
 
     void merge(const StoreItem &item);
     void stateChanged();
+    void notifyMirrorChanged();
     void storeLost(const Error &error);
     void storeReturned();
     void storeRestored(StoreEra before, StoreEra now);
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -6,12 +6,9 @@
 #include "jy_gateway/peers/HeartbeatCodec.h"
 #include "jy_gateway/peers/PeerGroups.h"
 #include "jy_gateway/registry/InstanceEntry.h"
-#include "jy_gateway/registry/StoreCopy.h"
 #include "jy_gateway/rollouts/RolloutProgressEntry.h"
 #include "jy_runtime/logging/Log.h"
 
-#include <absl/strings/numbers.h>
-
 #include <algorithm>
 #include <mutex>
 #include <set>
@@ -33,14 +30,6 @@
 // that time says nothing about them.
 constexpr milliseconds suspensionThreshold{1500};
 
-// Interval at which an instance without a configuration asks its peers for a copy of the store;
-// also the delay of the first attempt.
-constexpr milliseconds peerCopyInterval{1000};
-constexpr milliseconds peerCopyTimeout{700};
-
-// Longest long poll of an instance that reads the store through this one.
-constexpr milliseconds maxStoreChangesWait{5000};
-
 // Period to which the setting retrySlack refers.
 constexpr double retryWindowSeconds = 10;
 
@@ -48,6 +37,7 @@
 struct ChangeLogger
 {
     std::uint64_t revision;
+    StoreEra era;
 
     void operator()(const ConfigWritten &change) const
     {
@@ -55,7 +45,8 @@
                  {{"version", change.config->version},
                   {"routes", change.config->routeCount()},
                   {"keys", change.config->keyCount()},
-                  {"revision", revision}});
+                  {"revision", revision},
+                  {"era", era}});
     }
     void operator()(const ServerWritten &change) const
     {
@@ -149,7 +140,7 @@
         change = adapter_.decode(item);
     if (!change)
         return;
-    std::visit(ChangeLogger{item.revision}, *change);
+    std::visit(ChangeLogger{item.revision, mirror_.position().era}, *change);
     fleet_.apply(*change, Clock::now());
 }
 
@@ -167,8 +158,7 @@
     for (const auto &[id, state] : fleet_.servers())
         serverByHash_[serverHash(id)] = id;
     applyLimits();
-    const std::lock_guard lock(mirrorChangedMutex_);
-    mirrorChanged_.notify_all();
+    notifyMirrorChanged();
 }
 
 std::vector<RegisteredInstance> Gateway::liveInstances() const
@@ -178,82 +168,35 @@
     return live;
 }
 
-std::vector<Endpoint> Gateway::storeReaderEndpoints() const
-{
-    std::vector<Endpoint> endpoints;
-    for (const auto &reader : storeReadersFor(self_.id, liveInstances()))
-        endpoints.push_back(reader.control);
-    return endpoints;
-}
-
-StoreCopy Gateway::makeStoreCopy(std::vector<StoreItem> items) const
-{
-    const auto age = sync_.age(Clock::now());
-    return {{std::move(items), mirror_.revision(), false},
-            std::chrono::duration_cast<milliseconds>(age)};
-}
-
-void Gateway::handleStoreChanges(const HttpRequest &request, HttpResponder &responder)
-{
-    const auto refuse = [&](ErrorKind kind, std::string reason) {
-        responder.send(errorResponse({kind, std::move(reason)}));
-    };
-    std::uint64_t after = 0;
-    std::int64_t wait = 0;
-    if (!absl::SimpleAtoi(request.queryParameter(afterParameter).value_or(""), &after)
-        || !absl::SimpleAtoi(request.queryParameter(waitParameter).value_or(""), &wait)) {
-        refuse(ErrorKind::BadRequest, "a query parameter is missing");
-        return;
-    }
-    const auto deadline = Clock::now() + std::clamp(milliseconds(wait), {}, maxStoreChangesWait);
-    // Serves only data read from the store directly: along a chain of copies the ages would add up.
-    const auto canServeChanges = [this] {
-        return sync_.inContact() && storeReader_.readsDirectly();
-    };
-    {
-        std::unique_lock lock(mirrorChangedMutex_);
-        mirrorChanged_.wait_until(lock, deadline,
-                                  [&] { return mirror_.revision() > after || !canServeChanges(); });
-    }
-    if (!canServeChanges()) {
-        refuse(ErrorKind::KvUnavailable, "no contact with the store");
-        return;
-    }
-    auto changes = mirror_.changesAfter(after);
-    if (!changes) {
-        responder.send(historyLostStatus, {}, "");
-        return;
-    }
-    responder.send(200, {{"Content-Type", "application/zstd"}},
-                   encodeStoreCopy(makeStoreCopy(std::move(*changes))));
-}
-
 void Gateway::awaitConfig(milliseconds longest)
 {
     std::unique_lock lock(mirrorChangedMutex_);
     mirrorChanged_.wait_for(lock, longest, [this] { return fleet_.config() || sync_.lost(); });
 }
 
+void Gateway::notifyMirrorChanged()
+{
+    const std::lock_guard lock(mirrorChangedMutex_);
+    mirrorChanged_.notify_all();
+}
+
 void Gateway::storeLost(const Error &error)
 {
-    {
-        const std::lock_guard lock(mirrorChangedMutex_);
-        mirrorChanged_.notify_all();
-    }
+    notifyMirrorChanged();
     logEvent(LogLevel::Warn, "store-lost",
-             {{"reason", error.message}, {"revision", mirror_.revision()}});
+             {{"reason", error.message}, {"revision", mirror_.position().revision}});
 }
 
 void Gateway::storeReturned()
 {
-    logEvent(LogLevel::Info, "store-returned", {{"revision", mirror_.revision()}});
+    logEvent(LogLevel::Info, "store-returned", {{"revision", mirror_.position().revision}});
     fleet_.storeReturned(Clock::now());
 }
 
 void Gateway::storeRestored(StoreEra before, StoreEra now)
 {
     logEvent(LogLevel::Warn, "store-restored",
-             {{"era_before", before}, {"era", now}, {"revision", mirror_.revision()}});
+             {{"era_before", before}, {"era", now}, {"revision", mirror_.position().revision}});
 }
 
 void Gateway::receiveHeartbeat(std::string_view bytes)
@@ -467,37 +410,6 @@
     }
 }
 
-void Gateway::runPeerCopies(StopToken &stop)
-{
-    while (stop.sleepFor(peerCopyInterval)) {
-        if (!fleet_.config())
-            fetchPeerCopy();
-    }
-}
-
-void Gateway::fetchPeerCopy()
-{
-    for (const auto &seed : settings_.seeds) {
-        if (seed == settings_.listen.control)
-            continue;
-        const auto response =
-            storeClient_->request(seed, {.target = std::string(storeCopyPath)}, peerCopyTimeout);
-        if (!response || response.value().status != 200)
-            continue;
-        const auto copy = decodeStoreCopy(response.value().body);
-        if (!copy) {
-            logEvent(LogLevel::Warn, "peer-copy-unreadable",
-                     {{"peer", toString(seed)}, {"reason", copy.error().message}});
-            continue;
-        }
-        mirror_.applyPeerCopy(copy.value().page.items);
-        stateChanged();
-        logEvent(LogLevel::Info, "peer-copy-merged",
-                 {{"peer", toString(seed)}, {"items", copy.value().page.items.size()}});
-        return;
-    }
-}
-
 double Gateway::minimumRetryRate() const
 {
     const auto instances = static_cast<double>(liveCount_);
--- a/modules/jy_gateway/registry/PeerStoreReader.cpp
+++ b/modules/jy_gateway/registry/PeerStoreReader.cpp
@@ -27,10 +27,12 @@
     return readers;
 }
 
-PeerStoreReader::PeerStoreReader(const SharedStore &direct, HttpClient &client, Readers readers,
+PeerStoreReader::PeerStoreReader(const SharedStore &direct, HttpClient &client,
+                                 StoreEraTracker &era, Readers readers,
                                  PeerStoreReaderSettings settings)
     : directStore_(direct)
     , client_(client)
+    , era_(era)
     , readers_(std::move(readers))
     , settings_(settings)
 { }
@@ -41,8 +43,8 @@
     store.list = [this](const std::string &prefix, const std::string &after) {
         return list(prefix, after);
     };
-    store.watch = [this](const std::string &prefix, std::uint64_t revision, milliseconds wait) {
-        return watch(prefix, revision, wait);
+    store.watch = [this](const std::string &prefix, StorePosition after, milliseconds wait) {
+        return watch(prefix, after, wait);
     };
     return store;
 }
@@ -65,11 +67,12 @@
     return callStore(call);
 }
 
-Result<StorePage> PeerStoreReader::watch(const std::string &prefix, std::uint64_t revision,
+Result<StorePage> PeerStoreReader::watch(const std::string &prefix, StorePosition after,
                                          milliseconds wait)
 {
     const auto target = std::string(storeChangesPath) + '?' + std::string(afterParameter) + '='
-        + std::to_string(revision) + '&' + std::string(waitParameter) + '='
+        + std::to_string(after.revision) + '&' + std::string(eraParameter) + '='
+        + std::to_string(after.era) + '&' + std::string(waitParameter) + '='
         + std::to_string(settings_.wait.count());
     const auto readers = readers_();
     for (const auto &reader : readers) {
@@ -79,7 +82,7 @@
             return page;
         }
     }
-    const auto call = [&] { return directStore_.watch(prefix, revision, wait); };
+    const auto call = [&] { return directStore_.watch(prefix, after, wait); };
     if (readers.empty()) {
         direct_ = true;
         return call();
@@ -121,7 +124,10 @@
         return reject(copy.error().message);
     if (copy.value().age > settings_.maxAge)
         return reject("its copy is " + std::to_string(copy.value().age.count()) + " ms old");
-    return std::move(copy.value().page);
+    auto page = std::move(copy.value().page);
+    if (!era_.admit(page))
+        return reject("its copy is of era " + std::to_string(page.era));
+    return page;
 }
 
 } // namespace jy
--- a/modules/jy_gateway/registry/PeerStoreReader.h
+++ b/modules/jy_gateway/registry/PeerStoreReader.h
@@ -6,6 +6,7 @@
 #include "jy_gateway/adapter/SharedStore.h"
 #include "jy_gateway/model/FleetChange.h"
 #include "jy_gateway/registry/StoreCopy.h"
+#include "jy_gateway/registry/StoreEraTracker.h"
 #include "jy_http/client/HttpClient.h"
 
 #include <functional>
@@ -51,7 +52,7 @@
 /**
  * Reads the shared store through a few instances, the readers, instead of directly, so that the
  * number of calls to the store does not grow with the fleet. Falls back to the store if no reader
- * provides a recent copy.
+ * provides a recent copy of the latest known era.
  */
 class PeerStoreReader
 {
@@ -60,9 +61,9 @@
      */
     using Readers = std::function<std::vector<Endpoint>()>;
 
-    /** @p direct and @p client must outlive this object. */
-    PeerStoreReader(const SharedStore &direct, HttpClient &client, Readers readers,
-                    PeerStoreReaderSettings settings);
+    /** @p direct, @p client and @p era must outlive this object. */
+    PeerStoreReader(const SharedStore &direct, HttpClient &client, StoreEraTracker &era,
+                    Readers readers, PeerStoreReaderSettings settings);
 
     /** Returns a store whose read calls go through this object, which must outlive the store. */
     SharedStore store();
@@ -72,7 +73,7 @@
 
 private:
     Result<StorePage> list(const std::string &prefix, const std::string &after);
-    Result<StorePage> watch(const std::string &prefix, std::uint64_t revision,
+    Result<StorePage> watch(const std::string &prefix, StorePosition after,
                             std::chrono::milliseconds wait);
     /** Calls the store directly, unless the last such call failed within directPause. */
     Result<StorePage> callStore(const std::function<Result<StorePage>()> &call);
@@ -81,6 +82,7 @@
 
     const SharedStore &directStore_;
     HttpClient &client_;
+    StoreEraTracker &era_;
     Readers readers_;
     PeerStoreReaderSettings settings_;
     bool direct_ = true;
--- a/modules/jy_gateway/registry/StoreCopy.cpp
+++ b/modules/jy_gateway/registry/StoreCopy.cpp
@@ -94,8 +94,10 @@
             entry["removed"] = true;
         items.push_back(std::move(entry));
     }
-    return compressCopy(boost::json::serialize(boost::json::object{
-        {"items", std::move(items)}, {"as_of", copy.page.asOf}, {"age_ms", copy.age.count()}}));
+    return compressCopy(boost::json::serialize(boost::json::object{{"items", std::move(items)},
+                                                                   {"as_of", copy.page.asOf},
+                                                                   {"era", copy.page.era},
+                                                                   {"age_ms", copy.age.count()}}));
 }
 
 Result<StoreCopy> decodeStoreCopy(std::string_view bytes)
@@ -107,10 +109,12 @@
     const auto *items = object ? object->if_contains("items") : nullptr;
     const auto asOf = object ? readCount(*object, "as_of") : std::nullopt;
     const auto age = object ? readCount(*object, "age_ms") : std::nullopt;
-    if (!items || !items->is_array() || !asOf || !age)
+    const auto era = object && object->contains("era") ? readCount(*object, "era") : StoreEra{0};
+    if (!items || !items->is_array() || !asOf || !age || !era)
         return failure(ErrorKind::BadRequest, "the store copy has a missing or invalid field");
     StoreCopy copy;
     copy.page.asOf = *asOf;
+    copy.page.era = *era;
     copy.age = std::chrono::milliseconds(*age);
     for (const auto &entry : items->get_array()) {
         BOOST_OUTCOME_TRY(auto item, readItem(entry));
--- a/modules/jy_gateway/registry/StoreCopy.h
+++ b/modules/jy_gateway/registry/StoreCopy.h
@@ -14,16 +14,19 @@
 /** HTTP path at which it serves the changes after a revision; waits if there are none yet. */
 inline constexpr std::string_view storeChangesPath = "/v1/store-changes";
 
-/** Query parameters of storeChangesPath: the revision, and the longest wait in milliseconds. */
+/** Query parameters of storeChangesPath: the revision, its era (omitted by earlier builds), and the
+ * longest wait in milliseconds. */
 inline constexpr std::string_view afterParameter = "after";
+inline constexpr std::string_view eraParameter = "era";
 inline constexpr std::string_view waitParameter = "wait_ms";
 
-/** Status of the response if the changes after the revision are no longer available. */
+/** Status of the response if the changes after the revision are not available. */
 inline constexpr int historyLostStatus = 410;
 
 /** Items of the store that an instance serves to others. */
 struct StoreCopy
 {
+    /** Copies of builds that state no era have era 0. */
     StorePage page;
 
     /** Time since the store last responded to the instance that serves the copy. */
--- a/modules/jy_gateway/registry/StoreEraTracker.cpp
+++ b/modules/jy_gateway/registry/StoreEraTracker.cpp
@@ -12,6 +12,7 @@
 {
     if (!current_) {
         current_ = era;
+        first_ = era;
         return;
     }
     if (era <= *current_)
@@ -20,4 +21,13 @@
     restored_(before, era);
 }
 
+bool StoreEraTracker::admit(StorePage &copy)
+{
+    if (copy.era == 0)
+        copy.era = first_;
+    else
+        observe(copy.era);
+    return copy.era >= current();
+}
+
 } // namespace jy
--- a/modules/jy_gateway/registry/StoreEraTracker.h
+++ b/modules/jy_gateway/registry/StoreEraTracker.h
@@ -22,12 +22,24 @@
 
     void observe(StoreEra era);
 
+    /**
+     * Observes the era of another instance's copy. A copy that states none is from an earlier
+     * build, which keeps to the era that it read first; it is given the first era of this process.
+     *
+     * @returns false if the copy is of an earlier era than the latest one
+     */
+    [[nodiscard]] bool admit(StorePage &copy);
+
     /** 0 before the first response, and as long as the store states no era. */
     StoreEra current() const { return current_.value_or(0); }
 
+    /** The first era that was observed; 0 before that. */
+    StoreEra first() const { return first_; }
+
 private:
     Observer restored_;
     std::optional<StoreEra> current_;
+    StoreEra first_ = 0;
 };
 
 } // namespace jy
--- a/modules/jy_gateway/registry/StoreMirror.cpp
+++ b/modules/jy_gateway/registry/StoreMirror.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace jy {
 
@@ -10,20 +11,32 @@
     , holds_(std::move(holds))
 { }
 
-void StoreMirror::applyChanges(const std::vector<StoreItem> &changes, std::uint64_t asOf)
+bool StoreMirror::applyChanges(const StorePage &page)
 {
-    for (const auto &change : changes) {
+    if (page.era != era_)
+        return false;
+    for (const auto &change : page.items) {
         if (merge(change))
             appendToHistory(change);
     }
-    revision_ = std::max(revision_, asOf);
+    revision_ = std::max(revision_, page.asOf);
+    return true;
 }
 
-void StoreMirror::applyList(const std::vector<StoreItem> &items, std::uint64_t asOf)
+bool StoreMirror::applyList(const StorePage &page)
 {
+    if (page.era < era_)
+        return false;
+    const auto asOf = page.asOf;
+    if (page.era > era_) {
+        replace(page);
+        historyStart_ = asOf;
+        revision_ = asOf;
+        return true;
+    }
     std::set<std::string> listed;
     std::vector<StoreItem> changes;
-    for (const auto &item : items) {
+    for (const auto &item : page.items) {
         listed.insert(item.key);
         if (merge(item))
             changes.push_back(item);
@@ -44,6 +57,29 @@
     for (const auto &change : changes)
         appendToHistory(change);
     revision_ = std::max(revision_, asOf);
+    return true;
+}
+
+void StoreMirror::replace(const StorePage &page)
+{
+    const auto before = std::exchange(items_, {});
+    era_ = page.era;
+    revision_ = 0;
+    history_.clear();
+    for (const auto &item : page.items) {
+        if (item.removed || (holds_ && !holds_(item.key)))
+            continue;
+        items_[item.key] = item;
+    }
+    for (const auto &[key, item] : items_) {
+        const auto known = before.find(key);
+        if (known == before.end() || known->second != item)
+            observer_(item);
+    }
+    for (const auto &[key, item] : before) {
+        if (!item.removed && !items_.contains(key))
+            observer_({key, {}, page.asOf, true});
+    }
 }
 
 void StoreMirror::appendToHistory(const StoreItem &change)
@@ -57,10 +93,17 @@
     history_.pop_front();
 }
 
-void StoreMirror::applyPeerCopy(const std::vector<StoreItem> &items)
+bool StoreMirror::applyPeerCopy(const StorePage &page)
 {
-    for (const auto &item : items)
+    if (page.era < era_)
+        return false;
+    if (page.era > era_) {
+        replace(page);
+        return true;
+    }
+    for (const auto &item : page.items)
         merge(item);
+    return true;
 }
 
 std::optional<std::vector<StoreItem>> StoreMirror::changesAfter(std::uint64_t revision) const
--- a/modules/jy_gateway/registry/StoreMirror.h
+++ b/modules/jy_gateway/registry/StoreMirror.h
@@ -16,8 +16,9 @@
 /**
  * Local copy of the store's items, merged from complete lists, changes and the copies of peers.
  *
- * An item with a lower revision than the known one of its key is ignored, regardless of its source.
- * Removed items are kept with their revision for the same reason.
+ * All items belong to one era. Within it, an item with a lower revision than the known one of its
+ * key is ignored, regardless of its source; removed items are kept with their revision for the same
+ * reason. Pages of earlier eras are ignored, and a complete page of a later era replaces the copy.
  */
 class StoreMirror
 {
@@ -30,21 +31,33 @@
 
     explicit StoreMirror(Observer observer, KeyFilter holds = {});
 
-    /** Merges changes of the store and moves the revision to @p asOf. */
-    void applyChanges(const std::vector<StoreItem> &changes, std::uint64_t asOf);
+    /**
+     * Merges changes of the store and moves the revision to that of the page.
+     *
+     * @returns false if the page belongs to another era, so that a complete list is needed
+     */
+    [[nodiscard]] bool applyChanges(const StorePage &page);
 
     /**
-     * Merges a complete list of the store as of revision @p asOf. Removes known keys that are
-     * missing from the list and did not change after that revision.
+     * Merges a complete list of the store. Removes known keys that are missing from the list and
+     * did not change after its revision.
+     *
+     * @returns false if the list belongs to an earlier era and was ignored
      */
-    void applyList(const std::vector<StoreItem> &items, std::uint64_t asOf);
+    [[nodiscard]] bool applyList(const StorePage &page);
 
-    /** Merges the copy of a peer. Neither moves the revision nor removes missing keys, because the
-     * peer's copy may be older than this one. */
-    void applyPeerCopy(const std::vector<StoreItem> &items);
+    /**
+     * Merges the copy of a peer. Within an era, neither moves the revision nor removes missing
+     * keys, because the peer's copy may be older than this one. After a copy of a later era, the
+     * revision is 0 until the next list.
+     *
+     * @returns false if the copy belongs to an earlier era and was ignored
+     */
+    [[nodiscard]] bool applyPeerCopy(const StorePage &page);
 
-    /** Revision after which changes are to be read; 0 before the first list. */
-    std::uint64_t revision() const { return revision_; }
+    /** Position after which changes are to be read; its revision is 0 before the first list of the
+     * era. */
+    StorePosition position() const { return {era_, revision_}; }
 
     /**
      * Items that changed after @p revision, including removed ones, each in its current state.
@@ -62,6 +75,9 @@
 private:
     /** @returns whether the item changed the copy */
     bool merge(const StoreItem &item);
+
+    /** Replaces the copy by the items of a later era. */
+    void replace(const StorePage &page);
     void appendToHistory(const StoreItem &change);
 
     /** Maximum number of changes kept for peers. A peer that needs older ones reads a complete
@@ -70,6 +86,7 @@
 
     Observer observer_;
     KeyFilter holds_;
+    StoreEra era_ = 0;
     std::map<std::string, StoreItem> items_;
 
     /** The latest change of each key after revision historyStart_, in the order of the store. */
--- a/modules/jy_gateway/registry/StoreSync.cpp
+++ b/modules/jy_gateway/registry/StoreSync.cpp
@@ -3,6 +3,8 @@
 #include "jy_runtime/logging/Log.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace jy {
 
@@ -24,58 +26,83 @@
 void StoreSync::run(StopToken &stop)
 {
     auto pause = settings_.initialRetryPause;
+    const auto sleep = [&] {
+        return stop.sleepFor(std::exchange(pause, std::min(2 * pause, settings_.maxRetryPause)));
+    };
+    bool listed = false; // whether the last response was a list
     while (!stop.stopRequested()) {
-        const auto result = needsList_ ? list() : watch();
+        const bool listing = needsList();
+        if (listing && listed && !sleep())
+            return;
+        const auto result = listing ? list() : watch();
         if (result) {
-            pause = settings_.initialRetryPause;
+            listed = listing;
+            if (!listing)
+                pause = settings_.initialRetryPause;
             if (hooks_.readsStore() && changed_ && !stop.sleepFor(settings_.batchPause))
                 return;
             continue;
         }
         if (result.error().kind == ErrorKind::KvHistoryLost) {
-            logEvent(LogLevel::Info, "store-history-lost", {{"revision", mirror_.revision()}});
-            needsList_ = true;
+            const auto position = mirror_.position();
+            logEvent(LogLevel::Info, "store-history-lost",
+                     {{"revision", position.revision}, {"era", position.era}});
+            historyLost_ = true;
             continue;
         }
         if (!lost_) {
             lost_ = true;
             hooks_.lost(result.error());
         }
-        if (!stop.sleepFor(pause))
+        if (!sleep())
             return;
-        pause = std::min(2 * pause, settings_.maxRetryPause);
     }
 }
 
+bool StoreSync::needsList() const
+{
+    const auto position = mirror_.position();
+    return historyLost_ || position.revision == 0 || position.era < hooks_.latestEra();
+}
+
 Result<void> StoreSync::list()
 {
-    std::vector<StoreItem> items;
-    std::string after;
-    std::uint64_t asOf = 0;
-    while (true) {
-        BOOST_OUTCOME_TRY(auto page, store_.list(allKeys, after));
-        // The pages are no snapshot: the watch reads again what changed after the first page.
-        if (asOf == 0)
-            asOf = page.asOf;
-        items.insert(items.end(), page.items.begin(), page.items.end());
-        if (!page.truncated || page.items.empty())
-            break;
-        after = page.items.back().key;
-    }
+    BOOST_OUTCOME_TRY(const auto list, readList());
     noteResponse();
-    mirror_.applyList(items, asOf);
-    needsList_ = false;
-    hooks_.merged();
     changed_ = false;
+    if (!mirror_.applyList(list)) {
+        logEvent(LogLevel::Info, "store-list-ignored",
+                 {{"era", list.era}, {"latest", mirror_.position().era}});
+        return success();
+    }
+    historyLost_ = false;
+    hooks_.merged();
     return success();
 }
 
+Result<StorePage> StoreSync::readList() const
+{
+    BOOST_OUTCOME_TRY(auto list, store_.list(allKeys, {}));
+    while (list.truncated && !list.items.empty()) {
+        BOOST_OUTCOME_TRY(auto page, store_.list(allKeys, list.items.back().key));
+        if (page.era != list.era)
+            return failure(ErrorKind::KvHistoryLost, "the store was restored during the list");
+        // The pages are no snapshot: the watch reads again what changed after the first page.
+        list.items.insert(list.items.end(), std::make_move_iterator(page.items.begin()),
+                          std::make_move_iterator(page.items.end()));
+        list.truncated = page.truncated && !page.items.empty();
+    }
+    return list;
+}
+
 Result<void> StoreSync::watch()
 {
     BOOST_OUTCOME_TRY(const auto page,
-                      store_.watch(allKeys, mirror_.revision(), settings_.watchWait));
+                      store_.watch(allKeys, mirror_.position(), settings_.watchWait));
     noteResponse();
-    mirror_.applyChanges(page.items, page.asOf);
+    changed_ = false;
+    if (!mirror_.applyChanges(page))
+        return failure(ErrorKind::KvHistoryLost, "the changes are of another era");
     changed_ = !page.items.empty();
     if (changed_)
         hooks_.merged();
--- a/modules/jy_gateway/registry/StoreSync.h
+++ b/modules/jy_gateway/registry/StoreSync.h
@@ -26,12 +26,13 @@
      */
     std::chrono::milliseconds batchPause{400};
 
-    /** Pause after a failed call; doubles up to maxRetryPause. */
+    /** Pause after a failed call, and between lists in a row; doubles up to maxRetryPause. */
     std::chrono::milliseconds initialRetryPause{100};
     std::chrono::milliseconds maxRetryPause{400};
 };
 
-/** Keeps a StoreMirror up to date: reads one complete list, then watches from its revision. */
+/** Keeps a StoreMirror up to date: reads one complete list of each era, then watches from its
+ * revision. */
 class StoreSync
 {
 public:
@@ -48,6 +49,9 @@
 
         /** Whether the last call read the store itself rather than a copy. */
         std::function<bool()> readsStore;
+
+        /** Latest era that this process knows, also from other calls. */
+        std::function<StoreEra()> latestEra;
     };
 
     StoreSync(const SharedStore &store, StoreMirror &mirror, StoreSyncSettings settings,
@@ -63,11 +67,13 @@
     /** Whether the last call failed. */
     bool lost() const { return lost_; }
 
-    /** Whether the last call succeeded and a complete list has been read. */
-    bool inContact() const { return !lost_ && !needsList_; }
+    /** Whether the last call succeeded and a complete list of the latest era has been read. */
+    bool inContact() const { return !lost_ && !needsList(); }
 
 private:
+    bool needsList() const;
     Result<void> list();
+    Result<StorePage> readList() const;
     Result<void> watch();
     void noteResponse();
 
@@ -75,7 +81,7 @@
     StoreMirror &mirror_;
     StoreSyncSettings settings_;
     Hooks hooks_;
-    bool needsList_ = true;
+    bool historyLost_ = false;
 
     /** Whether the last watch returned changes, so that more may follow shortly. */
     bool changed_ = false;
--- a/tests/jy_gateway/PeerFormatTest.cpp
+++ b/tests/jy_gateway/PeerFormatTest.cpp
@@ -161,6 +161,7 @@
         R"({"items":[{"key":"k","revision":3,"value":"dg==","later":1}],"as_of":3,"age_ms":5,"later":"x"})"));
     ASSERT_TRUE(copy);
     EXPECT_EQ(copy.value().page.items.at(0).value, "v");
+    EXPECT_EQ(copy.value().page.era, 0U);
 }
 
 } // namespace
--- a/tests/jy_gateway/PeerStoreReaderTest.cpp
+++ b/tests/jy_gateway/PeerStoreReaderTest.cpp
@@ -1,5 +1,7 @@
 #include "jy_gateway/registry/PeerStoreReader.h"
 
+#include "jy_http/server/HttpServer.h"
+
 #include <gtest/gtest.h>
 
 namespace jy::test {
@@ -61,10 +63,11 @@
             return StorePage{};
         };
         std::vector<Endpoint> readers{{"127.0.0.1", 1}};
-        PeerStoreReader reading(store, *client, [&] { return readers; },
+        StoreEraTracker era([](StoreEra, StoreEra) {});
+        PeerStoreReader reading(store, *client, era, [&] { return readers; },
                                 {.directPause = milliseconds(200)});
         const auto follower = reading.store();
-        const auto watch = [&] { return bool(follower.watch("", 1, milliseconds(10))); };
+        const auto watch = [&] { return bool(follower.watch("", {0, 1}, milliseconds(10))); };
         for (int i = 0; i < 10; ++i)
             EXPECT_FALSE(watch());
         EXPECT_EQ(calls, 1);
@@ -82,13 +85,66 @@
     });
 }
 
+struct ReaderEraCase
+{
+    const char *name;
+
+    /** Era that the copy states; 0 for the copy of an earlier build. */
+    StoreEra copied;
+    StoreEra first;
+    StoreEra latest;
+    bool taken;
+};
+
+struct ReaderEraTest : testing::TestWithParam<ReaderEraCase>
+{ };
+
+// Guards against a reader that has not seen a restore and passes its copy on as current.
+TEST_P(ReaderEraTest, CopiesOfAnEarlierEraArePassedOver)
+{
+    EventLoop loop;
+    loop.run([&] {
+        const auto server =
+            HttpServer::create(loop, {}, [&](const auto &, auto &responder) {
+                responder.send(200, {},
+                               encodeStoreCopy({{.asOf = 9, .era = GetParam().copied}, {}}));
+            }).value();
+        const auto client = HttpClient::create(loop, {});
+        SharedStore store;
+        store.list = [](const auto &, const auto &) -> Result<StorePage> {
+            return StorePage{.asOf = 2, .era = GetParam().latest};
+        };
+        StoreEraTracker era([](StoreEra, StoreEra) {});
+        era.observe(GetParam().first);
+        era.observe(GetParam().latest);
+        PeerStoreReader reading(store, *client, era,
+                                [&] { return std::vector{server->localEndpoint()}; }, {});
+        const auto page = reading.store().list("", "");
+        ASSERT_TRUE(page);
+        EXPECT_EQ(reading.readsDirectly(), !GetParam().taken);
+        EXPECT_EQ(page.value().era, std::max(GetParam().copied, GetParam().latest));
+        EXPECT_EQ(era.current(), page.value().era);
+        server->stop();
+    });
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Copies, ReaderEraTest,
+    testing::Values(ReaderEraCase{"current", 2, 1, 2, true},
+                    ReaderEraCase{"earlier", 1, 1, 2, false}, ReaderEraCase{"later", 3, 1, 2, true},
+                    ReaderEraCase{"earlier_build", 0, 2, 2, true},
+                    ReaderEraCase{"earlier_build_after_restore", 0, 1, 2, false}),
+    [](const auto &testCase) { return testCase.param.name; });
+
 TEST(StoreCopyTest, RoundTrip)
 {
-    const StoreCopy sent{{{{"a", std::string("\0x", 2), 3, false}, {"b", "", 4, true}}, 7, false},
+    const StoreCopy sent{{.items = {{"a", std::string("\0x", 2), 3, false}, {"b", "", 4, true}},
+                          .asOf = 7,
+                          .era = 5},
                          std::chrono::milliseconds(12)};
     const auto received = decodeStoreCopy(encodeStoreCopy(sent));
     ASSERT_TRUE(received);
-    EXPECT_EQ(received.value().page.asOf, 7U);
+    EXPECT_EQ(received.value().page.position(), (StorePosition{5, 7}));
     EXPECT_EQ(received.value().age, sent.age);
     ASSERT_EQ(received.value().page.items.size(), 2U);
     EXPECT_EQ(received.value().page.items[0].value, sent.page.items[0].value);
@@ -112,7 +168,7 @@
     for (int i = 0; i < 1400; ++i)
         config += R"({"name":"r-)" + std::to_string(i * 7919)
             + R"(","host":"h.example","prefix":"/p/","route_kind":"safe","timeout_ms":6000},)";
-    const auto bytes = encodeStoreCopy({{{{"config", config, 3, false}}, 7, false}, {}});
+    const auto bytes = encodeStoreCopy({{.items = {{"config", config, 3, false}}, .asOf = 7}, {}});
     EXPECT_LE(bytes.size(), config.size() / 5);
     const auto received = decodeStoreCopy(bytes);
     ASSERT_TRUE(received);
@@ -127,7 +183,8 @@
                     R"({"items":1,"as_of":1,"age_ms":0})",
                     R"({"items":[{"key":"a"}],"as_of":1,"age_ms":0})",
                     R"({"items":[{"key":"a","revision":1,"value":"?"}],"as_of":1,"age_ms":0})",
-                    R"({"items":[],"as_of":-1,"age_ms":0})"));
+                    R"({"items":[],"as_of":-1,"age_ms":0})",
+                    R"({"items":[],"as_of":1,"age_ms":0,"era":"2"})"));
 
 } // namespace
 
--- a/tests/jy_gateway/StoreMirrorTest.cpp
+++ b/tests/jy_gateway/StoreMirrorTest.cpp
@@ -17,35 +17,35 @@
 
 TEST_F(StoreMirrorTest, OlderRevisionsAreIgnored)
 {
-    mirror.applyChanges({{"a", "new", 7, false}}, 7);
-    mirror.applyChanges({{"a", "old", 5, false}}, 7);
-    mirror.applyPeerCopy({{"a", "old", 6, false}});
+    EXPECT_TRUE(mirror.applyChanges({.items = {{"a", "new", 7, false}}, .asOf = 7}));
+    EXPECT_TRUE(mirror.applyChanges({.items = {{"a", "old", 5, false}}, .asOf = 7}));
+    EXPECT_TRUE(mirror.applyPeerCopy({.items = {{"a", "old", 6, false}}}));
     EXPECT_EQ(mirror.find("a")->value, "new");
     EXPECT_EQ(seen, std::vector<std::string>{"+a@7"});
 }
 
 TEST_F(StoreMirrorTest, ListRemovesMissingKeys)
 {
-    mirror.applyList({{"a", "", 1, false}, {"b", "", 2, false}}, 2);
-    mirror.applyList({{"b", "", 2, false}}, 9);
+    EXPECT_TRUE(mirror.applyList({.items = {{"a", "", 1, false}, {"b", "", 2, false}}, .asOf = 2}));
+    EXPECT_TRUE(mirror.applyList({.items = {{"b", "", 2, false}}, .asOf = 9}));
     EXPECT_EQ(mirror.find("a"), nullptr);
     EXPECT_NE(mirror.find("b"), nullptr);
-    EXPECT_EQ(mirror.revision(), 9U);
+    EXPECT_EQ(mirror.position().revision, 9U);
 }
 
 TEST_F(StoreMirrorTest, OldListDoesNotRemoveNewerKeys)
 {
-    mirror.applyChanges({{"a", "", 12, false}}, 12);
-    mirror.applyList({}, 9);
+    EXPECT_TRUE(mirror.applyChanges({.items = {{"a", "", 12, false}}, .asOf = 12}));
+    EXPECT_TRUE(mirror.applyList({.items = {}, .asOf = 9}));
     EXPECT_NE(mirror.find("a"), nullptr);
-    EXPECT_EQ(mirror.revision(), 12U);
+    EXPECT_EQ(mirror.position().revision, 12U);
 }
 
 TEST_F(StoreMirrorTest, OlderCopiesDoNotRestoreARemovedKey)
 {
-    mirror.applyChanges({{"a", "", 3, false}}, 3);
-    mirror.applyChanges({{"a", "", 8, true}}, 8);
-    mirror.applyPeerCopy({{"a", "", 3, false}});
+    EXPECT_TRUE(mirror.applyChanges({.items = {{"a", "", 3, false}}, .asOf = 3}));
+    EXPECT_TRUE(mirror.applyChanges({.items = {{"a", "", 8, true}}, .asOf = 8}));
+    EXPECT_TRUE(mirror.applyPeerCopy({.items = {{"a", "", 3, false}}}));
     EXPECT_EQ(mirror.find("a"), nullptr);
     EXPECT_EQ(seen, (std::vector<std::string>{"+a@3", "-a@8"}));
 }
@@ -55,9 +55,10 @@
 // delayed all changes.
 TEST_F(StoreMirrorTest, HistoryForPeersContinuesAcrossAList)
 {
-    mirror.applyList({{"a", "", 1, false}, {"b", "", 2, false}}, 2);
-    mirror.applyChanges({{"c", "", 3, false}}, 3);
-    mirror.applyList({{"b", "new", 5, false}, {"c", "", 3, false}}, 6);
+    EXPECT_TRUE(mirror.applyList({.items = {{"a", "", 1, false}, {"b", "", 2, false}}, .asOf = 2}));
+    EXPECT_TRUE(mirror.applyChanges({.items = {{"c", "", 3, false}}, .asOf = 3}));
+    EXPECT_TRUE(
+        mirror.applyList({.items = {{"b", "new", 5, false}, {"c", "", 3, false}}, .asOf = 6}));
     const auto changes = mirror.changesAfter(2);
     ASSERT_TRUE(changes);
     std::vector<std::string> keys;
@@ -69,9 +70,10 @@
 
 TEST_F(StoreMirrorTest, HistoryForPeersIsBounded)
 {
-    mirror.applyList({}, 1);
+    EXPECT_TRUE(mirror.applyList({.items = {}, .asOf = 1}));
     for (std::uint64_t revision = 2; revision < 3000; ++revision)
-        mirror.applyChanges({{"a" + std::to_string(revision), "", revision, false}}, revision);
+        EXPECT_TRUE(mirror.applyChanges(
+            {.items = {{"a" + std::to_string(revision), "", revision, false}}, .asOf = revision}));
     EXPECT_FALSE(mirror.changesAfter(1));
     EXPECT_EQ(mirror.changesAfter(2990)->size(), 9U);
 }
@@ -80,10 +82,11 @@
 // follower was sent every version since its last call.
 TEST_F(StoreMirrorTest, HistoryForPeersKeepsTheNewestVersionOnly)
 {
-    mirror.applyList({{"a", "", 1, false}}, 1);
+    EXPECT_TRUE(mirror.applyList({.items = {{"a", "", 1, false}}, .asOf = 1}));
     for (std::uint64_t revision = 2; revision < 400; ++revision)
-        mirror.applyChanges({{"config", std::to_string(revision), revision, false}}, revision);
-    mirror.applyChanges({{"a", "", 400, true}}, 400);
+        EXPECT_TRUE(mirror.applyChanges(
+            {.items = {{"config", std::to_string(revision), revision, false}}, .asOf = revision}));
+    EXPECT_TRUE(mirror.applyChanges({.items = {{"a", "", 400, true}}, .asOf = 400}));
     const auto changes = mirror.changesAfter(1);
     ASSERT_TRUE(changes);
     ASSERT_EQ(changes->size(), 2U);
@@ -91,6 +94,49 @@
     EXPECT_TRUE(changes->back().removed);
 }
 
+// Guards against changes ignored after a restore, because revisions start again lower.
+TEST_F(StoreMirrorTest, ListOfALaterEraReplacesTheCopy)
+{
+    const StoreItem kept{"kept", "same", 2, false};
+    EXPECT_TRUE(mirror.applyList(
+        {.items = {kept, {"a", "new", 7, false}, {"lost", "", 8, false}}, .asOf = 9, .era = 1}));
+    EXPECT_TRUE(mirror.applyChanges({.items = {{"gone", "", 9, true}}, .asOf = 9, .era = 1}));
+    seen.clear();
+    EXPECT_TRUE(mirror.applyList(
+        {.items = {kept, {"a", "old", 5, false}, {"gone", "", 4, false}}, .asOf = 6, .era = 2}));
+    EXPECT_EQ(seen, (std::vector<std::string>{"+a@5", "+gone@4", "-lost@6"}));
+    EXPECT_EQ(mirror.position(), (StorePosition{2, 6}));
+    EXPECT_FALSE(mirror.changesAfter(5));
+    EXPECT_TRUE(mirror.applyChanges({.items = {{"a", "again", 7, false}}, .asOf = 7, .era = 2}));
+    EXPECT_EQ(mirror.find("a")->value, "again");
+    EXPECT_EQ(mirror.changesAfter(6)->size(), 1U);
+}
+
+TEST_F(StoreMirrorTest, PagesOfAnotherEraAreIgnored)
+{
+    EXPECT_TRUE(mirror.applyList({.items = {{"a", "", 3, false}}, .asOf = 3, .era = 2}));
+    seen.clear();
+    const StorePage earlier{
+        .items = {{"a", "late", 8, false}, {"b", "", 9, false}}, .asOf = 9, .era = 1};
+    EXPECT_FALSE(mirror.applyList(earlier));
+    EXPECT_FALSE(mirror.applyPeerCopy(earlier));
+    EXPECT_FALSE(mirror.applyChanges(earlier));
+    EXPECT_FALSE(mirror.applyChanges({.items = earlier.items, .asOf = 9, .era = 3}));
+    EXPECT_TRUE(seen.empty());
+    EXPECT_EQ(mirror.position(), (StorePosition{2, 3}));
+}
+
+// Guards against a peer's copy of the restored store that a late list of the earlier era undoes.
+TEST_F(StoreMirrorTest, PeerCopyOfALaterEraReplacesTheCopy)
+{
+    EXPECT_TRUE(mirror.applyList({.items = {{"a", "lost", 7, false}}, .asOf = 7, .era = 1}));
+    EXPECT_TRUE(mirror.applyPeerCopy({.items = {{"b", "", 2, false}}, .asOf = 5, .era = 2}));
+    EXPECT_FALSE(mirror.applyList({.items = {{"a", "lost", 7, false}}, .asOf = 8, .era = 1}));
+    EXPECT_EQ(mirror.find("a"), nullptr);
+    EXPECT_NE(mirror.find("b"), nullptr);
+    EXPECT_EQ(mirror.position(), (StorePosition{2, 0}));
+}
+
 TEST(InstanceEntryTest, RoundTrip)
 {
     const RegisteredInstance instance{InstanceId("i1"), {"10.0.0.1", 1}, {"10.0.0.1", 2},
--- a/tests/platform/GatewayProcessTest.cpp
+++ b/tests/platform/GatewayProcessTest.cpp
@@ -295,6 +295,69 @@
     });
 }
 
+struct RestoreCase
+{
+    const char *name;
+    std::chrono::milliseconds outage;
+
+    /** Number of restores, one second apart. */
+    int restores = 1;
+    bool readerDies = false;
+};
+
+struct StoreRestoreTest : testing::TestWithParam<RestoreCase>
+{ };
+
+// Guards against changes that are ignored after the store came back from an older copy, because
+// their revisions are lower than those of the lost ones.
+TEST_P(StoreRestoreTest, LaterChangesTakeEffectEverywhere)
+{
+    withFleet([](GatewayFleet &fleet) {
+        const auto &restored = GetParam();
+        int runs = 0;
+        fleet.addBackend(runs);
+        fleet.configure(1);
+        fleet.start(5);
+        ASSERT_TRUE(within(startBound, [&] { return fleet.allReady(); }));
+        const auto serves = [&](const std::string &path) {
+            return within(configBound, [&] {
+                return std::ranges::all_of(fleet.instances, [&](auto &instance) {
+                    return !instance.process->running() || fleet.call(instance, path) == 200;
+                });
+            });
+        };
+        fleet.store.saveCopy();
+        for (int version = 2; version < 12; ++version)
+            fleet.configure(version, "/lost/");
+        EXPECT_TRUE(serves("/lost/x"));
+        for (int i = 0; i < restored.restores; ++i) {
+            fleet.store.setDown(restored.outage.count() > 0);
+            EventLoop::sleepFor(restored.outage);
+            fleet.store.restore();
+            fleet.store.setDown(false);
+            if (restored.readerDies)
+                fleet.instances.back().process->kill();
+            EventLoop::sleepFor(seconds(1));
+        }
+        fleet.startOne();
+        fleet.configure(20, "/b/");
+        fleet.store.takeCalls();
+        EXPECT_TRUE(serves("/b/x"));
+        ASSERT_TRUE(
+            within(startBound, [&] { return fleet.call(fleet.instances.back(), "/b/x") == 200; }));
+        fleet.configure(21, "/c/");
+        EXPECT_TRUE(serves("/c/x"));
+        EXPECT_LE(fleet.store.takeCalls(), 150U);
+    });
+}
+
+INSTANTIATE_TEST_SUITE_P(Restores, StoreRestoreTest,
+                         testing::Values(RestoreCase{"no_outage", milliseconds(0)},
+                                         RestoreCase{"outage", seconds(2)},
+                                         RestoreCase{"twice", milliseconds(200), 2},
+                                         RestoreCase{"reader_dies", milliseconds(0), 1, true}),
+                         [](const auto &testCase) { return testCase.param.name; });
+
 // Guards against requests that no report contains, or two, and against duties that nobody performs:
 // the holder is killed, the next one is stopped as planned, and the third one reports the rest.
 TEST(GatewayProcessTest, UsageIsReportedOnceThroughChangesOfTheHolder)
--- a/tests/platform/StandinStore.cpp
+++ b/tests/platform/StandinStore.cpp
@@ -22,11 +22,6 @@
     return request.queryParameter(name).value_or("");
 }
 
-void sendJson(HttpResponder &responder, const boost::json::object &body)
-{
-    responder.send(200, {{"Content-Type", "application/json"}}, boost::json::serialize(body));
-}
-
 std::uint64_t idAfterPrefix(std::string_view path, std::string_view prefix)
 {
     return std::stoull(std::string(path.substr(prefix.size())));
@@ -73,8 +68,21 @@
 
 void StandinStore::forgetHistory()
 {
-    history_.clear();
-    historyStart_ = ++revision_;
+    state_.history.clear();
+    state_.historyStart = ++state_.revision;
+    const std::lock_guard lock(mutex_);
+    changed_.notify_all();
+}
+
+void StandinStore::saveCopy()
+{
+    copy_ = state_;
+}
+
+void StandinStore::restore()
+{
+    state_ = copy_;
+    ++era_;
     const std::lock_guard lock(mutex_);
     changed_.notify_all();
 }
@@ -82,7 +90,7 @@
 std::size_t StandinStore::count(const std::string &prefix) const
 {
     std::size_t found = 0;
-    for (const auto &[key, item] : items_)
+    for (const auto &[key, item] : state_.items)
         found += key.starts_with(prefix) ? 1 : 0;
     return found;
 }
@@ -97,7 +105,7 @@
     ++calls_;
     const auto path = request.path();
     if (down_)
-        responder.send(503, {}, "");
+        send(responder, 503);
     else if (path == wire::rangePath)
         range(request, responder);
     else if (path == wire::watchPath)
@@ -108,18 +116,37 @@
         lease(request, responder);
 }
 
+void StandinStore::send(HttpResponder &responder, int status, const std::string &body) const
+{
+    responder.send(status, {{std::string(wire::storeEra), std::to_string(era_)}}, body);
+}
+
+void StandinStore::sendJson(HttpResponder &responder, const boost::json::object &body) const
+{
+    responder.send(
+        200,
+        {{"Content-Type", "application/json"}, {std::string(wire::storeEra), std::to_string(era_)}},
+        boost::json::serialize(body));
+}
+
 void StandinStore::range(const HttpRequest &request, HttpResponder &responder)
 {
     boost::json::array items;
     const auto after = parameter(request, "after");
-    for (const auto &[key, item] : items_) {
+    for (const auto &[key, item] : state_.items) {
         if (key.starts_with(parameter(request, "prefix")) && key > after)
             items.push_back(boost::json::object{{"key", key},
                                                 {"value", absl::Base64Escape(item.value)},
                                                 {"revision", item.revision},
                                                 {"lease", item.lease}});
     }
-    sendJson(responder, {{"items", std::move(items)}, {"truncated", false}, {"as_of", revision_}});
+    sendJson(responder,
+             {{"items", std::move(items)}, {"truncated", false}, {"as_of", state_.revision}});
+}
+
+bool StandinStore::hasHistory(std::uint64_t after) const
+{
+    return after >= state_.historyStart && after <= state_.revision;
 }
 
 void StandinStore::watch(const HttpRequest &request, HttpResponder &responder)
@@ -129,18 +156,18 @@
     {
         std::unique_lock lock(mutex_);
         changed_.wait_until(lock, deadline,
-                            [&] { return down_ || after < historyStart_ || revision_ > after; });
+                            [&] { return down_ || !hasHistory(after) || state_.revision > after; });
     }
     if (down_) {
-        responder.send(503, {}, "");
+        send(responder, 503);
         return;
     }
-    if (after < historyStart_) {
-        responder.send(410, {}, "");
+    if (!hasHistory(after)) {
+        send(responder, 410);
         return;
     }
     boost::json::array events;
-    for (const auto &change : history_) {
+    for (const auto &change : state_.history) {
         if (change.item.revision <= after)
             continue;
         boost::json::object event{{"key", change.key}, {"revision", change.item.revision}};
@@ -150,21 +177,21 @@
             event["value"] = absl::Base64Escape(change.item.value);
         events.push_back(std::move(event));
     }
-    sendJson(responder, {{"events", std::move(events)}, {"as_of", revision_}});
+    sendJson(responder, {{"events", std::move(events)}, {"as_of", state_.revision}});
 }
 
 void StandinStore::transaction(const HttpRequest &request, HttpResponder &responder)
 {
     const auto body = parseObject(request.body);
     if (!body) {
-        responder.send(400, {}, "");
+        send(responder, 400);
         return;
     }
     for (const auto &entry : body->at("expected_revision").as_array()) {
-        const auto found = items_.find(std::string(entry.at("key").as_string()));
-        const auto revision = found == items_.end() ? 0 : found->second.revision;
+        const auto found = state_.items.find(std::string(entry.at("key").as_string()));
+        const auto revision = found == state_.items.end() ? 0 : found->second.revision;
         if (revision != entry.at("revision").to_number<std::uint64_t>()) {
-            responder.send(412, {}, R"({"items":[]})");
+            send(responder, 412, R"({"items":[]})");
             return;
         }
     }
@@ -173,8 +200,8 @@
         absl::Base64Unescape(std::string(entry.at("value").as_string()), &item.value);
         if (const auto *id = entry.as_object().if_contains("lease"))
             item.lease = id->to_number<std::uint64_t>();
-        if (item.lease != 0 && !leases_.contains(item.lease)) {
-            responder.send(404, {}, "");
+        if (item.lease != 0 && !state_.leases.contains(item.lease)) {
+            send(responder, 404);
             return;
         }
         const std::string key(entry.at("key").as_string());
@@ -184,7 +211,7 @@
     }
     for (const auto &entry : body->at("deletes").as_array())
         write(std::string(entry.as_string()), {}, true);
-    sendJson(responder, {{"revision", revision_}});
+    sendJson(responder, {{"revision", state_.revision}});
 }
 
 void StandinStore::lease(const HttpRequest &request, HttpResponder &responder)
@@ -193,15 +220,15 @@
     if (path == wire::leasePath) {
         const auto body = parseObject(request.body);
         const milliseconds lifetime(body ? body->at("ttl_ms").to_number<int>() : 0);
-        leases_[++nextLease_] = {lifetime, Clock::now() + lifetime};
-        sendJson(responder, {{"lease", nextLease_}, {"ttl_ms", lifetime.count()}});
+        state_.leases[++state_.nextLease] = {lifetime, Clock::now() + lifetime};
+        sendJson(responder, {{"lease", state_.nextLease}, {"ttl_ms", lifetime.count()}});
         return;
     }
     const bool keep = path.starts_with(wire::keepPath);
     const auto id = idAfterPrefix(path, keep ? wire::keepPath : wire::leaseEndPath);
-    const auto found = leases_.find(id);
-    if (found == leases_.end()) {
-        responder.send(404, {}, "");
+    const auto found = state_.leases.find(id);
+    if (found == state_.leases.end()) {
+        send(responder, 404);
         return;
     }
     if (keep)
@@ -213,9 +240,9 @@
 
 void StandinStore::endLease(std::uint64_t id)
 {
-    leases_.erase(id);
+    state_.leases.erase(id);
     std::vector<std::string> keys;
-    for (const auto &[key, item] : items_) {
+    for (const auto &[key, item] : state_.items) {
         if (item.lease == id)
             keys.push_back(key);
     }
@@ -227,7 +254,7 @@
 {
     const auto now = Clock::now();
     std::vector<std::uint64_t> ended;
-    for (auto &[id, lease] : leases_) {
+    for (auto &[id, lease] : state_.leases) {
         if (down_ && leasesPause_)
             lease.ends += expiryPeriod;
         else if (lease.ends <= now)
@@ -239,12 +266,12 @@
 
 void StandinStore::write(const std::string &key, Item item, bool removed)
 {
-    item.revision = ++revision_;
-    history_.push_back({key, item, removed});
+    item.revision = ++state_.revision;
+    state_.history.push_back({key, item, removed});
     if (removed)
-        items_.erase(key);
+        state_.items.erase(key);
     else
-        items_[key] = std::move(item);
+        state_.items[key] = std::move(item);
     const std::lock_guard lock(mutex_);
     changed_.notify_all();
 }
--- a/tests/platform/StandinStore.h
+++ b/tests/platform/StandinStore.h
@@ -5,6 +5,7 @@
 
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
+#include <boost/json/object.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -37,6 +38,15 @@
     /** Drops the change history, so that every watch fails and gateways have to list again. */
     void forgetHistory();
 
+    /** Keeps a copy of the current state for restore(). */
+    void saveCopy();
+
+    /**
+     * Returns to the state of the last saveCopy(), with its revisions and leases, and raises the
+     * era.
+     */
+    void restore();
+
     /** Number of keys that begin with @p prefix. */
     std::size_t count(const std::string &prefix) const;
 
@@ -65,20 +75,31 @@
     };
 
     void handle(const HttpRequest &request, HttpResponder &responder);
+    void send(HttpResponder &responder, int status, const std::string &body = {}) const;
+    void sendJson(HttpResponder &responder, const boost::json::object &body) const;
     void range(const HttpRequest &request, HttpResponder &responder);
     void watch(const HttpRequest &request, HttpResponder &responder);
+    bool hasHistory(std::uint64_t after) const;
     void transaction(const HttpRequest &request, HttpResponder &responder);
     void lease(const HttpRequest &request, HttpResponder &responder);
     void endLease(std::uint64_t id);
     void expireLeases();
     void write(const std::string &key, Item item, bool removed);
 
-    std::map<std::string, Item> items_;
-    std::deque<Change> history_;
-    std::uint64_t historyStart_ = 1;
-    std::uint64_t revision_ = 1;
-    std::map<std::uint64_t, Lease> leases_;
-    std::uint64_t nextLease_ = 100;
+    /** What a restore takes back. */
+    struct State
+    {
+        std::map<std::string, Item> items;
+        std::deque<Change> history;
+        std::uint64_t historyStart = 1;
+        std::uint64_t revision = 1;
+        std::map<std::uint64_t, Lease> leases;
+        std::uint64_t nextLease = 100;
+    };
+
+    State state_;
+    State copy_;
+    std::uint64_t era_ = 1;
     std::uint64_t calls_ = 0;
     bool down_ = false;
     bool leasesPause_ = true;
