Keep what had taken effect when the store comes back from an older copy

FleetView::storeRestored() begins two times: missing servers, evacuations and rollout orders are kept for the re-registration time, in which operators and servers write theirs again; and servers whose start was known as leaving or gone get no requests until the store has had the time to remove those without heartbeats (four heartbeats, a setting now). Up to 1,024 departed servers are remembered. A repeated order of the same target is the same.

Ruled out: comparing the sequence of entries, because changes of it alone are not seen by a watch. RestoredStoreTest has ten cases; eight fail if storeRestored() only does what storeReturned() did.

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -99,6 +99,8 @@
                                 [this](StoreEra era) { era_.observe(era); }))
     , storeReader_(store_, *storeClient_, [this] { return storeReaderEndpoints(); }, {})
     , readStore_(storeReader_.store())
+    , fleet_({.serverHeartbeat =
+                  milliseconds(static_cast<milliseconds::rep>(settings_.bounds.serverHeartbeatMs))})
     , mirror_([this](const StoreItem &item) { merge(item); },
               [](std::string_view key) { return !key.starts_with(dutyStateKeys); })
     , sync_(readStore_, mirror_, {},
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -254,6 +254,7 @@
 {
     logEvent(LogLevel::Warn, "store-restored",
              {{"era_before", before}, {"era", now}, {"revision", mirror_.revision()}});
+    fleet_.storeRestored(Clock::now());
 }
 
 void Gateway::receiveHeartbeat(std::string_view bytes)
--- a/modules/jy_gateway/registry/FleetView.cpp
+++ b/modules/jy_gateway/registry/FleetView.cpp
@@ -1,9 +1,18 @@
 #include "jy_gateway/registry/FleetView.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jy {
 
+namespace {
+
+// Heartbeats after which an entry that a restored store still lists is that of a live server: the
+// store removes it after three missing ones, and instances read of the removal a little later.
+constexpr int confirmingHeartbeats = 4;
+
+} // namespace
+
 bool RolloutView::completed() const
 {
     return (report && report->state == RolloutState::Completed)
@@ -30,12 +39,47 @@
         if (due) {
             removed.push_back(entry.first);
             announced_.erase(entry.first);
+            noteDeparted(state.entry);
         }
         return due;
     });
+    if (isRestoring(now))
+        return removed;
+    for (const auto &domain : std::exchange(missingEvacuations_, {}))
+        endEvacuation(domain, now);
+    for (const auto &service : std::exchange(missingRollouts_, {}))
+        rollouts_.erase(service);
+    if (now >= unconfirmedUntil_)
+        leftBeforeRestore_.clear();
     return removed;
 }
 
+void FleetView::storeRestored(TimePoint now)
+{
+    storeReturned(now);
+    restoringUntil_ = now + reregistrationTime;
+    unconfirmedUntil_ = now + confirmingHeartbeats * settings_.serverHeartbeat;
+    for (const auto &[server, startTimeMs] : departed_)
+        leftBeforeRestore_[server] = startTimeMs;
+    for (const auto &[id, state] : servers_) {
+        if (state.leaving)
+            leftBeforeRestore_[id] = state.entry.startTimeMs;
+    }
+}
+
+bool FleetView::wasLeaving(const RegisteredServer &server) const
+{
+    const auto found = leftBeforeRestore_.find(server.id);
+    return found != leftBeforeRestore_.end() && found->second == server.startTimeMs;
+}
+
+void FleetView::noteDeparted(const RegisteredServer &server)
+{
+    departed_.emplace_back(server.id, server.startTimeMs);
+    if (departed_.size() > maxDeparted)
+        departed_.pop_front();
+}
+
 void FleetView::setServerCold(const ServerId &server, std::chrono::milliseconds left, TimePoint now)
 {
     const auto found = servers_.find(server);
@@ -72,7 +116,8 @@
 
 bool FleetView::isReady(const ServerState &server, TimePoint now) const
 {
-    const bool gone = server.leaving || (server.removalDue && *server.removalDue <= now);
+    const bool gone = server.leaving || now < server.unconfirmedUntil
+        || (server.removalDue && *server.removalDue <= now);
     return !gone && !evacuated_.contains(server.entry.domain);
 }
 
@@ -155,6 +200,8 @@
     if (!known || restarted)
         state.since = now;
     state.entry = registered;
+    if (now < unconfirmedUntil_ && wasLeaving(registered))
+        state.unconfirmedUntil = unconfirmedUntil_;
     state.leaving = registered.leaving || announced_.contains(registered.id);
     state.removalDue.reset();
     if (registered.coldLeft.count() > 0)
@@ -172,22 +219,32 @@
         found->second.removalDue = entriesUncertainUntil_;
     else {
         announced_.erase(change.id);
+        noteDeparted(found->second.entry);
         servers_.erase(found);
     }
 }
 
 void FleetView::on(const EvacuationWritten &change, TimePoint)
 {
+    missingEvacuations_.erase(change.domain);
     evacuated_.insert(change.domain);
 }
 
 void FleetView::on(const EvacuationRemoved &change, TimePoint now)
 {
-    if (evacuated_.erase(change.domain) == 0)
+    if (isRestoring(now))
+        missingEvacuations_.insert(change.domain);
+    else
+        endEvacuation(change.domain, now);
+}
+
+void FleetView::endEvacuation(const DomainId &domain, TimePoint now)
+{
+    if (evacuated_.erase(domain) == 0)
         return;
     // Servers become cold without requests, and other servers have cached their prefixes meanwhile.
     for (auto &[id, state] : servers_) {
-        if (state.entry.domain != change.domain)
+        if (state.entry.domain != domain)
             continue;
         state.coldUntil = std::max(state.coldUntil, now + coldDuration(state.entry.service));
         state.since = now;
@@ -206,16 +263,26 @@
 
 void FleetView::on(const RolloutWritten &change, TimePoint now)
 {
+    missingRollouts_.erase(change.order.service);
     auto &rollout = rollouts_[change.order.service];
     // The same order again: the list of the store was read once more.
     if (rollout.order == change.order)
         return;
+    // The operator writes the order again after a restore, with another revision.
+    if (isRestoring(now) && rollout.order.target == change.order.target
+        && rollout.order.duration == change.order.duration) {
+        rollout.order.revision = change.order.revision;
+        return;
+    }
     rollout = {.order = change.order, .seen = now};
 }
 
-void FleetView::on(const RolloutRemoved &change, TimePoint)
+void FleetView::on(const RolloutRemoved &change, TimePoint now)
 {
-    rollouts_.erase(change.service);
+    if (isRestoring(now))
+        missingRollouts_.insert(change.service);
+    else
+        rollouts_.erase(change.service);
 }
 
 void FleetView::on(const RolloutReportWritten &change, TimePoint)
--- a/modules/jy_gateway/registry/FleetView.h
+++ b/modules/jy_gateway/registry/FleetView.h
@@ -3,10 +3,12 @@
 #include "jy_base/time/TimeTypes.h"
 #include "jy_gateway/model/FleetChange.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace jy {
@@ -26,6 +28,10 @@
     /** The server tolerates only little load until this time. */
     TimePoint coldUntil;
 
+    /** Until when an entry that a restored store shows as ready is not believed, because the same
+     * start of the server was known to be leaving or gone. */
+    TimePoint unconfirmedUntil;
+
     /** Time at which this instance first read the entry of this start of the server, or at which
      * the evacuation of its failure domain ended. */
     TimePoint since;
@@ -61,6 +67,13 @@
     Target, /**< the version that the rollout introduces */
 };
 
+struct FleetViewSettings
+{
+    /** Time between two heartbeats of a backend server in the store, which removes the entry of a
+     * server after three missing ones. */
+    std::chrono::milliseconds serverHeartbeat{1200};
+};
+
 /**
  * This instance's view of the configuration, backend servers, rollouts, evacuations and other
  * instances.
@@ -77,13 +90,28 @@
      */
     static constexpr std::chrono::milliseconds reregistrationTime{1800};
 
+    explicit FleetView(FleetViewSettings settings = {})
+        : settings_(settings)
+    { }
+
     void apply(const FleetChange &change, TimePoint now);
 
     /** Called at the end of an outage of the store. Servers whose entries are missing are kept for
      * reregistrationTime. */
     void storeReturned(TimePoint now) { entriesUncertainUntil_ = now + reregistrationTime; }
 
-    /** Removes the servers whose entries did not return in time. @returns their ids */
+    /**
+     * Called before the first changes from a store that was restored from an older copy.
+     *
+     * What was written since the copy is missing until operators and servers write it again, and
+     * what was removed since is listed again. So missing servers, evacuations and rollouts are kept
+     * for reregistrationTime, and servers that were leaving or gone get no requests until the store
+     * has had the time to remove those that no longer send heartbeats.
+     */
+    void storeRestored(TimePoint now);
+
+    /** Ends the evacuations and rollouts and removes the servers whose entries did not return in
+     * time. @returns their ids */
     std::vector<ServerId> expire(TimePoint now);
 
     /** Records that a backend server stated to be cold for another @p left. */
@@ -150,10 +178,24 @@
     void on(const RolloutReportWritten &change, TimePoint now);
     void on(const RolloutProgressWritten &change, TimePoint now);
 
+    /** Whether the store may still lack what was written before it was restored. */
+    bool isRestoring(TimePoint now) const { return now < restoringUntil_; }
+
+    /** Whether this start of a server was known to be leaving or gone before the restore. */
+    bool wasLeaving(const RegisteredServer &server) const;
+
+    void noteDeparted(const RegisteredServer &server);
+    void endEvacuation(const DomainId &domain, TimePoint now);
+
     std::chrono::milliseconds coldDuration(const ServiceId &service) const;
     bool versionAllowed(const RegisteredServer &server) const;
     bool isReady(const ServerState &server, TimePoint now) const;
 
+    /** Servers that left recently; more than a deployment replaces while a copy of the store ages.
+     */
+    static constexpr std::size_t maxDeparted = 1024;
+
+    FleetViewSettings settings_;
     std::shared_ptr<const RoutingConfig> config_;
     std::map<ServerId, ServerState> servers_;
     /** Servers that announced in responses that they leave, until they restart or are removed. */
@@ -166,6 +208,18 @@
     /** Latest revision of each progress, also of those that belong to earlier orders. */
     std::map<ServiceId, std::uint64_t> progressRevisions_;
     TimePoint entriesUncertainUntil_;
+
+    /** Start times of servers whose entries were removed, in the order of their removal. */
+    std::deque<std::pair<ServerId, std::int64_t>> departed_;
+
+    /** Servers that were leaving or gone when the store was restored. */
+    StartTimeByServer leftBeforeRestore_;
+    TimePoint restoringUntil_;
+    TimePoint unconfirmedUntil_;
+
+    /** Evacuations and rollouts that the restored store lacks, ended by expire(). */
+    std::set<DomainId> missingEvacuations_;
+    std::set<ServiceId> missingRollouts_;
 };
 
 } // namespace jy
--- a/modules/jy_gateway/settings/GatewaySettings.cpp
+++ b/modules/jy_gateway/settings/GatewaySettings.cpp
@@ -31,6 +31,10 @@
         {"directoryLifetimeSeconds",
          "Lifetime of a directory response; callers may cache its addresses for this time."},
         directoryLifetimeSeconds, {1, 3600});
+    visitor.number({"serverHeartbeatMs",
+                    "Time between two heartbeats of a backend server in the store, which removes "
+                    "its entry after three missing ones."},
+                   serverHeartbeatMs, {1, 600'000});
     visitor.number({"exposureShare",
                     "Fraction of a service's requests that a version may get before it has passed "
                     "its analysis."},
--- a/modules/jy_gateway/settings/GatewaySettings.h
+++ b/modules/jy_gateway/settings/GatewaySettings.h
@@ -29,6 +29,10 @@
     /** Lifetime of a directory response; callers may cache its addresses for this time. */
     int directoryLifetimeSeconds = 2;
 
+    /** Time between two heartbeats of a backend server in the store, which removes its entry after
+     * three missing ones. */
+    double serverHeartbeatMs = 1200;
+
     /** Fraction of a service's requests, and requests in addition, that a version may get before
      * it has passed its analysis. */
     double exposureShare = 0.1;
--- a/tests/jy_gateway/FleetViewTest.cpp
+++ b/tests/jy_gateway/FleetViewTest.cpp
@@ -96,6 +96,107 @@
     EXPECT_EQ(view.findServer(ServerId("one")), nullptr);
 }
 
+struct RestoreCase
+{
+    const char *name;
+
+    /** The change just before the restore, and what the restored copy lists instead. */
+    std::optional<FleetChange> before;
+    std::optional<FleetChange> listed;
+
+    /** Written by the server or the operator one second after the restore. */
+    std::optional<FleetChange> rewritten;
+
+    bool candidateAtOnce;
+    bool candidateAfterReregistration;
+    bool candidateInTheEnd;
+};
+
+RegisteredServer leavingServer()
+{
+    auto leaving = server("one", engines);
+    leaving.leaving = true;
+    return leaving;
+}
+
+RegisteredServer restartedServer()
+{
+    auto restarted = server("one", engines);
+    restarted.startTimeMs = 2;
+    return restarted;
+}
+
+struct RestoredStoreTest : testing::TestWithParam<RestoreCase>
+{ };
+
+// Guards against a restored copy of the store that takes back what had taken effect.
+TEST_P(RestoredStoreTest, OlderCopyTakesNothingBack)
+{
+    FleetView view({.serverHeartbeat = milliseconds(1200)});
+    view.apply(ConfigWritten{twoServices()}, start);
+    view.apply(ServerWritten{server("one", engines)}, start);
+    if (GetParam().before)
+        view.apply(*GetParam().before, start);
+    view.storeRestored(start);
+    if (GetParam().listed)
+        view.apply(*GetParam().listed, start);
+    const auto hasCandidate = [&](milliseconds after) {
+        view.expire(start + after);
+        return !view.candidates(engines, start + after).empty();
+    };
+    EXPECT_EQ(hasCandidate(milliseconds(500)), GetParam().candidateAtOnce);
+    if (GetParam().rewritten)
+        view.apply(*GetParam().rewritten, start + seconds(1));
+    EXPECT_EQ(hasCandidate(FleetView::reregistrationTime), GetParam().candidateAfterReregistration);
+    EXPECT_EQ(hasCandidate(seconds(6)), GetParam().candidateInTheEnd);
+}
+
+const ServerId one{"one"};
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases, RestoredStoreTest,
+    testing::Values(
+        RestoreCase{"UnknownToTheCopyAndWrittenAgain",
+                    {},
+                    ServerRemoved{one},
+                    ServerWritten{server("one", engines)},
+                    true,
+                    true,
+                    true},
+        RestoreCase{"UnknownToTheCopyAndGone", {}, ServerRemoved{one}, {}, true, false, false},
+        RestoreCase{"WasLeaving", ServerWritten{leavingServer()},
+                    ServerWritten{server("one", engines)}, ServerWritten{leavingServer()}, false,
+                    false, false},
+        RestoreCase{"WasLeavingAndGoesAway", ServerWritten{leavingServer()},
+                    ServerWritten{server("one", engines)}, ServerRemoved{one}, false, false, false},
+        RestoreCase{"WasGoneAndDoesNotReturn", ServerRemoved{one},
+                    ServerWritten{server("one", engines)}, ServerRemoved{one}, false, false, false},
+        RestoreCase{"WasGoneAndReturns",
+                    ServerRemoved{one},
+                    ServerWritten{server("one", engines)},
+                    {},
+                    false,
+                    false,
+                    true},
+        RestoreCase{"WasGoneAndStartsAgain", ServerRemoved{one},
+                    ServerWritten{server("one", engines)}, ServerWritten{restartedServer()}, false,
+                    true, true},
+        RestoreCase{"EvacuationIsWrittenAgain", EvacuationWritten{DomainId("a")},
+                    EvacuationRemoved{DomainId("a")}, EvacuationWritten{DomainId("a")}, false,
+                    false, false},
+        RestoreCase{"EvacuationHadEnded",
+                    EvacuationWritten{DomainId("a")},
+                    EvacuationRemoved{DomainId("a")},
+                    {},
+                    false,
+                    true,
+                    true},
+        RestoreCase{
+            "RolloutIsWrittenAgain", RolloutWritten{{engines, VersionId("v1"), seconds(10), 7}},
+            RolloutRemoved{engines}, RolloutWritten{{engines, VersionId("v1"), seconds(10), 3}},
+            false, false, false}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 TEST_F(FleetViewTest, EvacuatedDomainHasNoCandidatesAndIsColdAfterwards)
 {
     view.apply(EvacuationWritten{DomainId("a")}, start);
--- a/tests/platform/TemplateTest.cpp
+++ b/tests/platform/TemplateTest.cpp
@@ -70,6 +70,7 @@
     std::vector<std::string> duties;
     const char *leaseMs = "";
     const char *usageWindow = "";
+    const char *heartbeatMs = "1200.0";
 };
 
 struct TemplateTest : testing::TestWithParam<TemplateValues>
@@ -93,6 +94,7 @@
          {"listen.control", "10.1.0.40:8229"},
          {"internal_ports.0", "7340"},
          {"platform.address", "10.200.1.7:8223"},
+         {"heartbeat_ms", GetParam().heartbeatMs},
          {"bounds.grace_s", GetParam().graceSeconds},
          {"bounds.retry_slack", GetParam().retrySlack},
          {"limits.cpu_share", GetParam().processorShare},
@@ -130,7 +132,8 @@
                        "1",
                        {"usage_report", "autoscale"},
                        "3000",
-                       "5"},
+                       "5",
+                       "1200"},
         TemplateValues{"DutiesInFractions",
                        "200",
                        "56",
@@ -140,7 +143,8 @@
                        "1",
                        {"usage_report"},
                        "3000.0",
-                       "2.5"}),
+                       "2.5",
+                       ""}),
     [](const auto &info) { return std::string(info.param.name); });
 
 struct InvalidDuties
