Take the era of a restore from responses only

A request for changes could state any era, and the reader would then have listed the store again and again. A follower of a later era now waits for the reader's own list instead. Changes are merged only if the copy is still in the era in which they were asked for, because the copy of a peer may have replaced it meanwhile.

--- a/modules/jy_gateway/assembly/GatewayCopies.cpp
+++ b/modules/jy_gateway/assembly/GatewayCopies.cpp
@@ -89,23 +89,22 @@
     StoreEra followed = 0;
     const bool statesEra =
         absl::SimpleAtoi(request.queryParameter(eraParameter).value_or(""), &followed);
-    if (statesEra)
-        era_.observe(followed);
     const auto deadline = Clock::now() + std::clamp(milliseconds(wait), {}, maxStoreChangesWait);
     // Serves only data read from the store directly: along a chain of copies the ages would add up.
     const auto hasContact = [this] {
         return !sync_.lost() && storeReader_.readsDirectly() && mirror_.position().revision != 0;
     };
+    const auto upToDate = [&] { return sync_.inContact() && mirror_.position().era >= followed; };
     const auto continues = [&] { return !statesEra || followed == mirror_.position().era; };
     {
         std::unique_lock lock(mirrorChangedMutex_);
         // Followers wait for the list after a restore; refused ones would call the store.
         mirrorChanged_.wait_until(lock, deadline, [&] {
             return !hasContact()
-                || (sync_.inContact() && (!continues() || mirror_.position().revision > after));
+                || (upToDate() && (!continues() || mirror_.position().revision > after));
         });
     }
-    if (!hasContact() || !sync_.inContact()) {
+    if (!hasContact() || !upToDate()) {
         refuse(responder, ErrorKind::KvUnavailable, "no contact with the store");
         return;
     }
--- a/modules/jy_gateway/registry/StoreSync.cpp
+++ b/modules/jy_gateway/registry/StoreSync.cpp
@@ -97,11 +97,12 @@
 
 Result<void> StoreSync::watch()
 {
-    BOOST_OUTCOME_TRY(const auto page,
-                      store_.watch(allKeys, mirror_.position(), settings_.watchWait));
+    const auto after = mirror_.position();
+    BOOST_OUTCOME_TRY(const auto page, store_.watch(allKeys, after, settings_.watchWait));
     noteResponse();
     changed_ = false;
-    if (!mirror_.applyChanges(page))
+    // A copy of a peer may have replaced the mirror meanwhile.
+    if (page.era != after.era || !mirror_.applyChanges(page))
         return failure(ErrorKind::KvHistoryLost, "the changes are of another era");
     changed_ = !page.items.empty();
     if (changed_)
