Ignore old items of keys that a newer list does not have

Counterexample: write, list on its way, remove, list read, then the first list: the key was there, and no later change removed it.

--- a/modules/jy_gateway/registry/StoreMirror.cpp
+++ b/modules/jy_gateway/registry/StoreMirror.cpp
@@ -138,6 +138,9 @@
 {
     if (holds_ && !holds_(item.key))
         return false;
+    // A key that is unknown although the copy is complete as of revision_ was removed before that.
+    if (item.revision <= revision_ && !items_.contains(item.key))
+        return false;
     auto &known = items_[item.key];
     // Lists repeat unchanged items. A removal found by a list has the revision of that list, which
     // may equal that of the removed item.
--- a/tests/jy_gateway/StoreMirrorTest.cpp
+++ b/tests/jy_gateway/StoreMirrorTest.cpp
@@ -50,6 +50,15 @@
     EXPECT_EQ(seen, (std::vector<std::string>{"+a@3", "-a@8"}));
 }
 
+// Guards against an older copy that brings back what was removed before the first list.
+TEST_F(StoreMirrorTest, OlderCopiesDoNotAddKeysThatTheListLacked)
+{
+    EXPECT_TRUE(mirror.applyList({.asOf = 9}));
+    EXPECT_TRUE(mirror.applyPeerCopy({.items = {{"a", "", 8, false}, {"b", "", 10, false}}}));
+    EXPECT_EQ(mirror.find("a"), nullptr);
+    EXPECT_NE(mirror.find("b"), nullptr);
+}
+
 // Guards against a lost history after a complete list: when the store had dropped its own history,
 // readers sent complete copies to all followers, which saturated their links for seconds and
 // delayed all changes.
