Keep a request at a silent server unless another attempt is reserved

Callers saw a resumable stream break off, or a plain repeatable request end with 502/504 after twice its latency target, although their server only paused and went on.

Cause (check then act, in the wrong order): relayEvents() gave a stream up after one second without an event, attemptTimeout() ended the wait for a head, and the hook of the stall detector cancelled the attempt; only then mayTryAgain() found that max_attempts was reached, the retry budget spent or no server left.

Now a timer and the stall detector ask RetryReservation, which reserves the next attempt (budget, place at a responsive server, attempts, time) before the present one is given up, and returns what is not used. Without a reservation the request stays with its server until the caller's deadline or the route's timeout, and the question is asked again every 250 ms where the answer can change.

A server that vanishes between its choice and the attempt no longer costs a retry, as nothing was sent.

--- a/modules/jy_core/limits/RetryBudget.cpp
+++ b/modules/jy_core/limits/RetryBudget.cpp
@@ -46,4 +46,12 @@
     return true;
 }
 
+void RetryBudget::returnRetry(TimePoint granted)
+{
+    const auto second = secondOf(granted);
+    Slot &slot = slots_[static_cast<std::size_t>(second) % windowSeconds];
+    if (slot.second == second && slot.retries > 0)
+        --slot.retries;
+}
+
 } // namespace jy
--- a/modules/jy_core/limits/RetryBudget.h
+++ b/modules/jy_core/limits/RetryBudget.h
@@ -36,6 +36,9 @@
     /** Counts a retry if the budget allows it. @returns whether it does. */
     bool tryRetry(TimePoint now);
 
+    /** Returns a retry that was granted at @p granted and not made. */
+    void returnRetry(TimePoint granted);
+
     static constexpr std::size_t windowSeconds = 10;
 
 private:
--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -124,7 +124,8 @@
                .scalableServices = [this] { return scalableServices(); }},
               self_, incarnation_, dutySettings())
     , rolloutTraffic_(fleet_, {settings_.bounds.exposureShare, settings_.bounds.exposureSlack})
-    , relay_({.client = *serverClient_,
+    , relay_({.loop = loop_,
+              .client = *serverClient_,
               .fleet = fleet_,
               .loads = loads_,
               .health = health_,
--- a/modules/jy_gateway/placement/ServerChooser.cpp
+++ b/modules/jy_gateway/placement/ServerChooser.cpp
@@ -124,7 +124,7 @@
         const bool silent = health_.isExcluded(id, now) || stalls_.isStalled(id, now);
         (silent ? lastResort : all).push_back(candidate);
     }
-    if (all.empty())
+    if (all.empty() && !query.responsiveOnly)
         all = std::move(lastResort);
     if (available.empty())
         result.reason = PlacementReason::NoServer;
--- a/modules/jy_gateway/placement/ServerChooser.h
+++ b/modules/jy_gateway/placement/ServerChooser.h
@@ -35,6 +35,9 @@
     /** Servers that earlier attempts of this request were sent to. */
     std::set<ServerId> tried;
 
+    /** Leaves out servers that are silent, instead of choosing them if there are no others. */
+    bool responsiveOnly = false;
+
     /** Versions that may get the request during a rollout. */
     VersionGroup versions = VersionGroup::Any;
 
--- a/modules/jy_gateway/relay/RelayEnding.cpp
+++ b/modules/jy_gateway/relay/RelayEnding.cpp
@@ -6,6 +6,7 @@
 #include "jy_runtime/logging/Log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jy {
 
@@ -16,26 +17,73 @@
 
 constexpr int unavailableStatus = 503;
 
-// Bounds the servers tried for one request, including those that refuse the connection.
-constexpr int maxServersTried = 4;
-
 } // namespace
 
+RetryReservation::Hooks RelayExchange::retryHooks()
+{
+    return {.takeBudget =
+                [this] {
+                    retryGranted_ = Clock::now();
+                    return relay_.budgetFor(query_.service).tryRetry(retryGranted_);
+                },
+            .returnBudget = [this] { relay_.budgetFor(query_.service).returnRetry(retryGranted_); },
+            .place =
+                [this](bool responsiveOnly) {
+                    if (relay_.dependencies_.quarantine.check(parts_, Clock::now()))
+                        return Placement{};
+                    query_.responsiveOnly = responsiveOnly;
+                    auto placement = place();
+                    if (!placement.server.empty())
+                        relay_.dependencies_.loads.requestStarted(placement.server);
+                    return placement;
+                },
+            .releasePlace =
+                [this](const ServerId &server) {
+                    relay_.dependencies_.loads.requestFinished(server, false);
+                }};
+}
+
+RetryState RelayExchange::retryState(bool unsent, bool repeatable) const
+{
+    return {.repeatable = repeatable,
+            .unsent = unsent,
+            .sentTo = sentTo_ + (awaitsHead_ ? 1 : 0),
+            .maxAttempts = route_.maxAttempts,
+            .serversTried = outcome_.attempts,
+            .timeLeft = timeLeft()};
+}
+
 bool RelayExchange::mayTryAgain(Step step)
 {
-    if (timeLeft() <= milliseconds(1) || outcome_.attempts >= maxServersTried)
-        return false;
-    if (step == Step::NotSent)
-        return true;
     const bool repeatable = step == Step::NotRun || (isResumable() && !unbufferedStarted_)
         || (route_.repeatable() && !responder_.started());
-    if (!repeatable || sentTo_ >= std::max(1, route_.maxAttempts))
+    const auto obstacle = retry_.reserve(retryState(step == Step::NotSent, repeatable), false);
+    if (obstacle == RetryObstacle::BudgetSpent)
+        logEvent(LogLevel::Warn, "retry-budget-spent",
+                 {{"request", metadata_.id}, {"service", query_.service}});
+    return obstacle == RetryObstacle::None;
+}
+
+bool RelayExchange::moveFromSilentServer(const ServerId &server)
+{
+    if (!attemptCancellation_ || attemptCancellation_->cancelled())
         return false;
-    if (relay_.budgetFor(query_.service).tryRetry(Clock::now()))
-        return true;
-    logEvent(LogLevel::Warn, "retry-budget-spent",
-             {{"request", metadata_.id}, {"service", query_.service}});
-    return false;
+    const auto obstacle = retry_.reserve(retryState(false, true), true);
+    moved_ = obstacle == RetryObstacle::None;
+    const auto now = Clock::now();
+    if ((moved_ || !std::exchange(keptLogged_, true)) && relay_.failedLines_.allow(now))
+        logEvent(LogLevel::Info, moved_ ? "attempt-moved" : "attempt-kept",
+                 {{"request", metadata_.id},
+                  {"server", server},
+                  {"attempt", outcome_.attempts},
+                  {"patience_ms", silenceTimeout_},
+                  {"waited_ms", now - attemptStart_},
+                  {"silent_ms", now - silenceTimer_.lastProgress()},
+                  {"time_left_ms", timeLeft()},
+                  {"obstacle", toString(obstacle)}});
+    if (moved_)
+        attemptCancellation_->cancel();
+    return obstacle == RetryObstacle::BudgetSpent || obstacle == RetryObstacle::NoServer;
 }
 
 void RelayExchange::refuse(const Placement &placement)
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -18,9 +18,9 @@
 // Used when the caller states no timeout.
 constexpr milliseconds defaultCallerTimeout{30000};
 
-// While a repeatable request can be retried, an attempt may last this multiple of the route's
-// latency target.
-constexpr int attemptTimeoutFactor = 2;
+// A repeatable request that can be retried waits for a response head for this multiple of the
+// route's latency target.
+constexpr int headPatienceFactor = 2;
 constexpr milliseconds shortestAttempt{250};
 
 // Responses up to this size are buffered, so that the request can be retried if the connection
@@ -58,6 +58,9 @@
     , deadline_(start
                 + std::min(metadata.callerTimeout.value_or(defaultCallerTimeout), route.timeout))
     , bufferLease_(relay.dependencies_.bodyBudget)
+    , retry_(retryHooks())
+    , silenceTimer_(relay.dependencies_.loop.io(),
+                    [this] { return moveFromSilentServer(outcome_.server); })
 {
     query_.service = pickService(route, relay.draw());
     parts_ = sharedParts(metadata.prompt);
@@ -74,17 +77,18 @@
 RelayOutcome RelayExchange::run()
 {
     relay_.budgetFor(query_.service).recordAttempt(start_);
+    if (const auto wait = relay_.dependencies_.quarantine.check(parts_, Clock::now())) {
+        refuseQuarantined(*wait);
+        return outcome_;
+    }
+    auto placement = place();
+    if (placement.server.empty()) {
+        outcome_.placement = placement.reason;
+        refuse(placement);
+        return outcome_;
+    }
+    relay_.dependencies_.loads.requestStarted(placement.server);
     while (true) {
-        if (const auto wait = relay_.dependencies_.quarantine.check(parts_, Clock::now())) {
-            refuseQuarantined(*wait);
-            break;
-        }
-        const auto placement = place();
-        if (placement.server.empty()) {
-            outcome_.placement = placement.reason;
-            refuse(placement);
-            break;
-        }
         const auto step = attempt(placement);
         if (step == Step::Done)
             break;
@@ -96,6 +100,7 @@
             giveUp();
             break;
         }
+        placement = retry_.take();
     }
     return outcome_;
 }
@@ -103,9 +108,12 @@
 RelayExchange::Step RelayExchange::attempt(const Placement &placement)
 {
     auto &dependencies = relay_.dependencies_;
+    responseStarted_ = false;
+    const auto counted = absl::MakeCleanup(
+        [&] { dependencies.loads.requestFinished(placement.server, responseStarted_); });
     const auto *server = dependencies.fleet.findServer(placement.server);
     if (!server)
-        return Step::NotRun;
+        return Step::NotSent;
     // A copy: the entry may be removed while this fiber is suspended.
     const auto registered = server->entry;
     const auto outgoingRequest = outgoing(*server, placement.copySource);
@@ -124,21 +132,20 @@
               {"copy_from", placement.copySource},
               {"candidates", placement.candidates},
               {"time_left_ms", timeLeft()}});
-    // Triggered when the caller disconnects, or when the server stalls before it responds to a
-    // repeatable request.
+    // Triggered when the caller disconnects, or when the request moves to another server.
     const auto cancellation = Cancellation::create();
     const auto registration =
         responder_.cancellation()->onCancel([cancellation] { cancellation->cancel(); });
     beginWatch(registered.id, cancellation);
-    const auto watched =
-        absl::MakeCleanup([&] { dependencies.stalls.requestEnded(registered.id, watch_); });
-    dependencies.loads.requestStarted(registered.id);
-    responseStarted_ = false;
+    const auto watched = absl::MakeCleanup([&] {
+        silenceTimer_.stop();
+        attemptCancellation_.reset();
+        dependencies.stalls.requestEnded(registered.id, watch_);
+    });
     began_ = false;
-    const auto counted = absl::MakeCleanup(
-        [&] { dependencies.loads.requestFinished(registered.id, responseStarted_); });
-    auto opened = dependencies.client.open(registered.endpoint, outgoingRequest, attemptTimeout(),
+    auto opened = dependencies.client.open(registered.endpoint, outgoingRequest, remainingWait(),
                                            callOptions(registered.id, cancellation));
+    awaitsHead_ = false;
     if (opened || !isUnsent(opened.error().kind))
         ++sentTo_;
     if (opened)
@@ -151,15 +158,16 @@
 void RelayExchange::beginWatch(const ServerId &server,
                                const std::shared_ptr<Cancellation> &cancellation)
 {
-    stalled_ = false;
+    moved_ = false;
+    keptLogged_ = false;
+    awaitsHead_ = true;
+    attemptStart_ = Clock::now();
     std::function<void()> onStall;
-    if (route_.repeatable() && sentTo_ + 1 < route_.maxAttempts) {
-        onStall = [this, cancellation] {
-            stalled_ = true;
-            cancellation->cancel();
-        };
+    if (route_.repeatable()) {
+        attemptCancellation_ = cancellation;
+        onStall = [this, server] { moveFromSilentServer(server); };
+        silenceTimer_.start(headPatience(), attemptStart_);
     }
-    attemptStart_ = Clock::now();
     silenceTimeout_ = relay_.waits_.silenceTimeout(route_.name, route_.latencyTarget);
     watch_ = relay_.dependencies_.stalls.requestSent(server, silenceTimeout_, attemptStart_,
                                                      std::move(onStall));
@@ -219,15 +227,16 @@
     lastError_ = error;
     switch (error.kind) {
     case ErrorKind::Cancelled:
-        if (stalled_ && !responder_.callerGone()) {
-            logEvent(LogLevel::Info, "attempt-moved",
-                     {{"request", metadata_.id},
-                      {"server", server},
-                      {"patience_ms", silenceTimeout_},
-                      {"waited_ms", Clock::now() - attemptStart_}});
+        if (moved_ && !responder_.callerGone()) {
+            const auto now = Clock::now();
+            const auto waited = now - attemptStart_;
             // Recorded here because the server may have no other request left that would time out.
-            record(server, ServerOutcome::TimedOut);
+            // A wait that is usual for the route is not the server's fault.
+            if (waited > silenceTimeout_ || relay_.dependencies_.stalls.isStalled(server, now))
+                record(server, ServerOutcome::TimedOut);
             recordForRollout(false);
+            if (!responseStarted_ && waited >= headPatience())
+                recordWait();
             mayHaveRun_ = true;
             lastError_ = {ErrorKind::DeadlineExceeded, "the backend server is silent", {}};
             return Step::MayHaveRun;
@@ -269,6 +278,7 @@
         relay_.dependencies_.protocol.readResponseMetadata(stream.status(), stream.headers());
     relay_.dependencies_.stalls.dataReceived(registered.id, watch_, route_.pauseTarget,
                                              Clock::now());
+    silenceTimer_.stop();
     recordWait();
     applyServerState(metadata, registered);
     const auto &server = registered.id;
@@ -386,13 +396,11 @@
 {
     mayHaveRun_ = true;
     // Progress is measured in events, as a stalled server may still send single bytes.
-    auto lastProgress = Clock::now();
+    if (isResumable())
+        silenceTimer_.start(relay_.settings_.resumeSilence, Clock::now());
     bool gotEvent = false;
     while (true) {
-        auto wait = remainingWait();
-        if (isResumable())
-            wait = std::min(wait, silenceLeft(lastProgress));
-        auto part = stream.readSome(wait);
+        auto part = stream.readSome(remainingWait());
         if (!part) {
             events_.dropRemainder();
             if (part.error().kind == ErrorKind::BackendBroken)
@@ -419,7 +427,7 @@
         }
         const auto events = events_.add(part.value());
         if (events_.madeProgress()) {
-            lastProgress = Clock::now();
+            silenceTimer_.progress(Clock::now());
             gotEvent = true;
         }
         if (events_.remainder() > maxEventBytes || !bufferLease_.resize(events_.remainder())) {
@@ -452,18 +460,9 @@
     return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(timeLeft()));
 }
 
-milliseconds RelayExchange::attemptTimeout() const
-{
-    const auto left = remainingWait();
-    if (!route_.repeatable() || sentTo_ + 1 >= route_.maxAttempts)
-        return left;
-    return std::min(left, std::max(shortestAttempt, attemptTimeoutFactor * route_.latencyTarget));
-}
-
-milliseconds RelayExchange::silenceLeft(TimePoint lastProgress) const
+milliseconds RelayExchange::headPatience() const
 {
-    const auto end = lastProgress + relay_.settings_.resumeSilence;
-    return std::max(milliseconds(1), std::chrono::ceil<milliseconds>(end - Clock::now()));
+    return std::max(shortestAttempt, headPatienceFactor * route_.latencyTarget);
 }
 
 bool RelayExchange::isResumable() const
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -3,6 +3,8 @@
 #include "jy_gateway/placement/PromptAffinity.h"
 #include "jy_gateway/relay/EventSplitter.h"
 #include "jy_gateway/relay/RequestRelay.h"
+#include "jy_gateway/relay/RetryReservation.h"
+#include "jy_gateway/relay/SilenceTimer.h"
 
 #include <optional>
 
@@ -33,10 +35,16 @@
 
     /** Registers the current attempt with the stall detector.
      *
-     * @param cancellation ends the attempt of a repeatable request when its server stalls before it
-     * responds
+     * @param cancellation ends the attempt of a repeatable request that moves to another server
      */
     void beginWatch(const ServerId &server, const std::shared_ptr<Cancellation> &cancellation);
+
+    /** Ends the attempt at a silent server if the next one is reserved; otherwise the attempt goes
+     * on. @returns whether the attempt may still move later */
+    bool moveFromSilentServer(const ServerId &server);
+
+    RetryReservation::Hooks retryHooks();
+    RetryState retryState(bool unsent, bool repeatable) const;
     HttpCallOptions callOptions(const ServerId &server,
                                 const std::shared_ptr<Cancellation> &cancellation);
     Step relayResponse(HttpStream &stream, const RegisteredServer &server);
@@ -68,6 +76,7 @@
     HttpRequest outgoing(const ServerState &server, const ServerId &cachedAt) const;
     bool startResponse(const HttpStream &stream);
 
+    /** Reserves the next attempt after one that ended with @p step. */
     bool mayTryAgain(Step step);
     void refuse(const Placement &placement);
 
@@ -100,10 +109,9 @@
 
     /** Time left, at least 1 ms: a wait of zero would miss data that has already arrived. */
     std::chrono::milliseconds remainingWait() const;
-    std::chrono::milliseconds attemptTimeout() const;
 
-    /** Time left for a resumable stream to make progress before it moves to another server. */
-    std::chrono::milliseconds silenceLeft(TimePoint lastProgress) const;
+    /** Wait for the response head after which a repeatable request moves to another server. */
+    std::chrono::milliseconds headPatience() const;
     bool isResumable() const;
 
     RequestRelay &relay_;
@@ -134,10 +142,27 @@
     /** Whether the current attempt has received the first part of an event stream. */
     bool responseStarted_ = false;
 
-    /** Key of the current attempt at the stall detector, and whether the attempt was cancelled
-     * because its server stalled. */
+    /** Key of the current attempt at the stall detector. */
     StallDetector::RequestKey watch_ = 0;
-    bool stalled_ = false;
+
+    /** The next attempt, and the timer that moves the request to it from a silent server. */
+    RetryReservation retry_;
+    SilenceTimer silenceTimer_;
+
+    /** Ends the current attempt; set while it may move. */
+    std::shared_ptr<Cancellation> attemptCancellation_;
+
+    /** The current attempt waits for the head of its response. */
+    bool awaitsHead_ = false;
+
+    /** The current attempt was given up because its server is silent. */
+    bool moved_ = false;
+
+    /** A line was logged that says why the current attempt stays at a silent server. */
+    bool keptLogged_ = false;
+
+    /** When the retry of the reserved attempt was granted. */
+    TimePoint retryGranted_;
 
     /** When the current attempt was sent, and whether its server is known to run it. */
     TimePoint sentAt_;
--- a/modules/jy_gateway/relay/RequestRelay.h
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -79,6 +79,7 @@
 /** References must outlive the relay. */
 struct RelayDependencies
 {
+    EventLoop &loop;
     HttpClient &client;
     FleetView &fleet;
     LoadTable &loads;
--- a/tests/jy_gateway/RelayFixture.h
+++ b/tests/jy_gateway/RelayFixture.h
@@ -66,7 +66,8 @@
         , rateLimits_(InstanceId("self"))
         , chooser_(fleet, loads_, health_, backoff_, stalls, cold_, rateLimits_)
         , protocol_(testProtocol())
-        , relay_({.client = *client_,
+        , relay_({.loop = loop_,
+                  .client = *client_,
                   .fleet = fleet,
                   .loads = loads_,
                   .health = health_,
