Register again in the store after it was restored

After the store came back from an older copy, an instance kept renewing the lease identifier of its registration, which may be that of another instance by then, and ended it at a planned stop. If nobody had the identifier, the instance was missing from the store until its next renewal failed.

Cause: identifiers of leases are given out again after a restore, and Registration did not know to which state of the store its lease belongs.

A lease now belongs to the era in which it was granted. The sleep between renewals ends when a later era is known; the instances register again within two seconds, each at its own moment. A renewal whose response shows a later era counts as failed, and a lease of an earlier era is neither renewed nor ended.

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -106,7 +106,8 @@
              .returned = [this] { storeReturned(); },
              .merged = [this] { stateChanged(); },
              .readsStore = [this] { return storeReader_.readsDirectly(); }})
-    , registration_(store_, instanceKey(self_.id), encodeInstance(self_), {})
+    , registration_(store_, instanceKey(self_.id), encodeInstance(self_), {},
+                    [this] { return era_.current(); })
     , peers_(self_.id)
     , incarnation_(unixMilliseconds())
     , stalls_([this](const ServerId &server) { return isFull(server); })
--- a/modules/jy_gateway/registry/Registration.h
+++ b/modules/jy_gateway/registry/Registration.h
@@ -4,6 +4,7 @@
 #include "jy_runtime/supervision/StopToken.h"
 
 #include <chrono>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -24,14 +25,24 @@
     /** Pause after a failed registration; doubles up to maxRetryPause. */
     std::chrono::milliseconds retryPause{300};
     std::chrono::milliseconds maxRetryPause{1200};
+
+    /** After a restore of the store, instances register again within this time, each at its own
+     * moment, because a large fleet would exceed the rate limit of the store otherwise. */
+    std::chrono::milliseconds restoreSpread{2000};
 };
 
-/** Keeps the entry of this instance in the store under a lease, so that others can find it. */
+/**
+ * Keeps the entry of this instance in the store under a lease, so that others can find it.
+ *
+ * The lease belongs to the era in which it was granted. Once a later era is known, the instance
+ * registers again, and the identifier, which may be that of another lease then, is used no more.
+ */
 class Registration
 {
 public:
+    /** @param storeEra latest known era, updated before any response of the store is returned */
     Registration(const SharedStore &store, std::string key, std::string value,
-                 RegistrationSettings settings);
+                 RegistrationSettings settings, std::function<StoreEra()> storeEra);
 
     /** Registers and renews the lease until a stop is requested. Runs as a child of the supervisor.
      */
@@ -42,13 +53,21 @@
 
 private:
     Result<void> createEntry();
+    bool registered() const { return lease_ != 0 && era_ == storeEra_(); }
+
+    /** Waits for the next renewal, or for less if the store was restored. */
+    void sleepUntilRenewal(StopToken &stop);
     void logFailure(std::string_view event, const Error &error);
 
     const SharedStore &store_;
     std::string key_;
     std::string value_;
     RegistrationSettings settings_;
+    std::function<StoreEra()> storeEra_;
     std::uint64_t lease_ = 0;
+
+    /** Era in which the lease was granted. */
+    StoreEra era_ = 0;
     bool withdrawn_ = false;
     bool failing_ = false;
 };
