Lose the duties with the store's era and keep fencing tokens rising over restores

The fencing token was the revision of the holder's key. Revisions are given out again after the store came back from an older copy, so the next holder could send a lower token than the one before, or the same token as another instance. The holder also renewed and ended lease identifiers of before the restore, and compared revisions of two states of the store to see whether another holder is later.

A lease now belongs to the era in which it was granted: once a later era is known, also by the response to a renewal, the right is lost and the identifier is used no more. A write of the holder's key whose response shows a later era is not believed.

The key duties/fence, written without a lease in the same transaction as the holder's key, names the era and the lowest token that is above those of all earlier holders. Each acquisition reads it and writes it under the condition that it is unchanged; each restore since it was written adds 2^24, more than the changes that a restore can lose. Without restores the token remains the revision, so builds from before and this one can take over from each other. The holder's key carries the same number, so that tokens, not revisions, decide which of two holders is later. The wait after a take-over now counts from after the read that shows that there is no holder.

A holder that finds its own key in the restored store takes it over at once, instead of waiting for the end of a lease that nobody renews.

Evidence: DutyLeaseExploration plays restores (ages of one and three rounds, rounds 1 to 7) among up to three faults. It finds a violation when the store states no era (mutant IgnoresRestores, which is the behaviour before), and none with it.

Ruled out: the era in the upper bits of the token. It needs no stored value, but a store whose era is above zero would let the token fall when a build from before takes over, with no restore at all.

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -116,6 +116,7 @@
     , rateLimits_(self_.id)
     , chooser_(fleet_, loads_, health_, backoff_, stalls_, cold_, rateLimits_)
     , duties_({.store = store_,
+               .storeEra = [this] { return era_.current(); },
                .api = adapter_.openDutyApi(*dutyClient_, settings_.duties.address,
                                            dutySettings().lease.callTimeout()),
                .metrics = metrics_,
--- a/modules/jy_gateway/duties/DutyLease.h
+++ b/modules/jy_gateway/duties/DutyLease.h
@@ -16,7 +16,16 @@
 /** Key of the holder of the duties in the shared store. Its lease is that of the holder. */
 inline constexpr std::string_view dutyHolderKey = "duties/holder";
 
-/** Content of the holder's key. The revision of the key is the fencing token. */
+/**
+ * Key that keeps the fencing tokens rising over restores of the store: written with each holder,
+ * without a lease.
+ */
+inline constexpr std::string_view dutyFenceKey = "duties/fence";
+
+/**
+ * Content of the holder's key. The fencing token is the revision of the key, or tokenFloor if that
+ * is higher.
+ */
 struct DutyHolder
 {
     InstanceId instance;
@@ -27,12 +36,30 @@
     /** Number of the attempt to acquire the duties, to recognise the result of a lost response. */
     std::uint64_t attempt = 0;
 
+    /** Lowest token that is above those of all earlier holders; 0 if an earlier build wrote it. */
+    std::uint64_t tokenFloor = 0;
+
     bool operator==(const DutyHolder &) const = default;
 };
 
 std::string encodeHolder(const DutyHolder &holder);
 std::optional<DutyHolder> decodeHolder(std::string_view text);
 
+/** Content of the fence's key. */
+struct DutyFence
+{
+    /** Era in which it was written. */
+    StoreEra era = 0;
+
+    /** The tokenFloor of the holder that was written with it. */
+    std::uint64_t tokenFloor = 0;
+
+    bool operator==(const DutyFence &) const = default;
+};
+
+std::string encodeFence(const DutyFence &fence);
+std::optional<DutyFence> decodeFence(std::string_view text);
+
 struct DutyLeaseSettings
 {
     /** Lifetime of the lease in the store, and minimum time between acts of two holders. */
@@ -55,10 +82,13 @@
  * Acquires and keeps the right to perform the duties of the deployment.
  *
  * The holder is the instance whose entry is at dutyHolderKey, written on the condition that there
- * was none and bound to a lease. The fencing token is the revision of that write, so it increases
- * with each holder. A holder sends only while the lease is valid by its own monotonic clock,
- * counted from before the latest renewal was sent, and a new holder waits for longer than that
- * before its first call.
+ * was none and bound to a lease. The fencing token is the revision of that write as long as the
+ * store was not restored; afterwards the fence keeps it above those of all earlier holders. A
+ * holder sends only while the lease is valid by its own monotonic clock, counted from before the
+ * latest renewal was sent, and a new holder waits for longer than that before its first call.
+ *
+ * The lease belongs to the era in which it was granted: it is lost once a later era is known, and
+ * its identifier, which may be that of another lease then, is used no more.
  *
  * All calls suspend the calling fiber. At most one fiber may use acquire(), renew() and release().
  */
@@ -66,21 +96,28 @@
 {
 public:
     using ClockHook = std::function<TimePoint()>;
+    using EraHook = std::function<StoreEra()>;
 
-    /** @p store must outlive this object. @param clock bootTime() in production */
+    /**
+     * @p store must outlive this object.
+     *
+     * @param clock bootTime() in production
+     * @param storeEra latest known era, updated before any response of the store is returned
+     */
     DutyLease(const SharedStore &store, DutyHolder self, DutyLeaseSettings settings,
-              ClockHook clock);
+              ClockHook clock, EraHook storeEra);
 
     /**
-     * Tries to become the holder. Call it when the store is believed to have no holder.
+     * Tries to become the holder. Call it when the store is believed to have no holder, or to show
+     * this process as the holder while it has not acquired the duties.
      *
      * @returns KvConflict if another instance is the holder, or the error of the store; after
      * KvOutcomeUnknown the next call finds out what became of the write
      */
     Result<void> acquire();
 
-    /** Renews the lease if that is due. The right is lost if the store no longer knows the lease.
-     */
+    /** Renews the lease if that is due. The right is lost if the store no longer knows the lease,
+     * or was restored. */
     Result<void> renew();
 
     /** Gives the right up, so that another instance can take over at once. After an error the
@@ -94,7 +131,19 @@
      * expired meanwhile, which only a renewal shows. */
     bool acquired() const { return acquired_; }
 
-    bool held() const { return acquired_ && order_.held(clock_()); }
+    bool held() const { return acquired_ && inEra() && order_.held(clock_()); }
+
+    /** Whether the store was not restored since the latest acquisition, as far as is known. */
+    bool inEra() const { return storeEra_() == era_; }
+
+    /** Era of the latest acquisition. */
+    StoreEra era() const { return era_; }
+
+    /**
+     * Time before which no other instance can have acquired the duties before a restore of the
+     * store; nothing if another one may have since the latest acquisition.
+     */
+    std::optional<TimePoint> soleUntil() const { return soleUntil_; }
 
     /** The fencing token; 0 before the first acquisition. */
     std::uint64_t token() const { return token_; }
@@ -103,11 +152,25 @@
      * call of the previous holder may still be on its way */
     std::optional<DutyCredential> credentialForCall() const;
 
-    /** Condition under which only the current holder can write to the store. */
-    StoreCondition condition() const { return {std::string(dutyHolderKey), token_}; }
+    /** Revision of the holder's key, in the era of the acquisition. */
+    std::uint64_t revision() const { return revision_; }
+
+    /** Condition under which only the current holder can write to the store, in era(). */
+    StoreCondition condition() const { return {std::string(dutyHolderKey), revision_}; }
 
 private:
-    void granted(std::uint64_t revision, TimePoint requestSent);
+    /** A write of the holder's key whose outcome is unknown. */
+    struct Unresolved
+    {
+        TimePoint requestSent;
+        StoreEra era = 0;
+    };
+
+    void granted(std::uint64_t revision, TimePoint requestSent, StoreEra era);
+    bool isOwn(const DutyHolder &holder) const;
+    std::uint64_t tokenFloorAfter(const DutyFence &fence, std::uint64_t fenceRevision,
+                                  StoreEra era) const;
+    Result<void> loseWithEra();
 
     /** Determines whether a write without a response has taken effect. */
     Result<void> resolve();
@@ -116,13 +179,18 @@
     DutyHolder self_;
     DutyLeaseSettings settings_;
     ClockHook clock_;
+    EraHook storeEra_;
     OrderLease order_;
     bool acquired_ = false;
     std::uint64_t token_ = 0;
+    std::uint64_t revision_ = 0;
     std::uint64_t lease_ = 0;
+    StoreEra era_ = 0;
+    std::optional<TimePoint> soleUntil_;
 
-    /** Set while the outcome of a write is unknown: the time before its lease was granted. */
-    std::optional<TimePoint> unresolvedSince_;
+    /** Earliest era in which this process tried to acquire the duties. */
+    std::optional<StoreEra> firstEra_;
+    std::optional<Unresolved> unresolved_;
 };
 
 } // namespace jy
--- a/modules/jy_gateway/duties/DutyRunner.cpp
+++ b/modules/jy_gateway/duties/DutyRunner.cpp
@@ -80,7 +80,8 @@
     , self_(self)
     , incarnation_(incarnation)
     , settings_(std::move(settings))
-    , lease_(dependencies_.store, {self.id, incarnation}, settings_.lease, bootTime)
+    , lease_(dependencies_.store, {self.id, incarnation}, settings_.lease, bootTime,
+             dependencies_.storeEra)
     , calendar_(settings_.usageWindow)
     , counts_(calendar_)
     , reports_({calendar_, settings_.usageLateness})
@@ -102,14 +103,21 @@
     if (holder_ && !holder)
         vacantSince_ = std::max(vacantSince_, now);
     holder_ = holder;
-    const bool mine = holder && holder->instance == self_.id && holder->incarnation == incarnation_;
-    if (lease_.acquired() && !mine && item.revision > lease_.token()) {
+    // Tokens can be compared across restores of the store, unlike revisions.
+    const bool later = holder ? std::max(item.revision, holder->tokenFloor) > lease_.token()
+                              : item.revision > lease_.revision();
+    if (lease_.acquired() && !(holder && isSelf(*holder)) && later) {
         logEvent(LogLevel::Warn, "duty-lost",
                  {{"reason", "the store shows another holder"}, {"token", lease_.token()}});
         lease_.lose();
     }
 }
 
+bool DutyRunner::isSelf(const DutyHolder &holder) const
+{
+    return holder.instance == self_.id && holder.incarnation == incarnation_;
+}
+
 std::vector<RegisteredInstance> DutyRunner::collectors() const
 {
     return widestInstances("duties", dependencies_.liveInstances(), collectorCount);
@@ -117,8 +125,11 @@
 
 bool DutyRunner::mayAcquire(TimePoint now) const
 {
-    if (holder_ || released_ || now < vacantSince_ || !dependencies_.storeInContact())
+    if (released_ || now < vacantSince_ || !dependencies_.storeInContact())
         return false;
+    // After a restore, the store shows this process as the holder by a lease that is lost.
+    if (holder_)
+        return isSelf(*holder_);
     const auto vacant = now - vacantSince_;
     const auto ranked = collectors();
     const auto own = std::ranges::find(ranked, self_.id, &RegisteredInstance::id);
@@ -150,7 +161,9 @@
 {
     const auto acquired = lease_.acquire();
     if (acquired) {
-        logEvent(LogLevel::Info, "duty-acquired", {{"token", lease_.token()}});
+        logEvent(
+            LogLevel::Info, "duty-acquired",
+            {{"token", lease_.token()}, {"revision", lease_.revision()}, {"era", lease_.era()}});
         return;
     }
     // Another instance was faster; the copy of the store will show it.
--- a/modules/jy_gateway/duties/DutyRunner.h
+++ b/modules/jy_gateway/duties/DutyRunner.h
@@ -37,6 +37,9 @@
     /** The store itself, not a copy held by another instance. */
     const SharedStore &store;
 
+    /** Latest known era of the store, updated before any of its responses is returned. */
+    std::function<StoreEra()> storeEra;
+
     DutyApi api;
     Metrics &metrics;
 
@@ -90,6 +93,8 @@
     void release();
 
 private:
+    /** Whether the holder is this process. */
+    bool isSelf(const DutyHolder &holder) const;
     bool mayAcquire(TimePoint now) const;
     void acquire();
     std::vector<RegisteredInstance> collectors() const;
--- a/tests/jy_gateway/DutyLeaseTest.cpp
+++ b/tests/jy_gateway/DutyLeaseTest.cpp
@@ -1,5 +1,7 @@
 #include "DutyStore.h"
 
+#include "jy_gateway/registry/StoreEraTracker.h"
+
 #include <gtest/gtest.h>
 
 #include <optional>
@@ -24,6 +26,7 @@
     None,
     SkipsCheckBeforeSend, /**< sends with its token as long as it believes to be the holder */
     SkipsTakeoverDelay, /**< sends as soon as the lease is granted */
+    IgnoresRestores, /**< knows of no era */
 };
 
 /** Something that happens to one of the instances in one or more rounds. */
@@ -36,7 +39,8 @@
         Frozen,
         Restarted,
         LeasesEnd,
-        Stopped
+        Stopped,
+        Restored, /**< the store comes back from the copy of that many rounds before */
     };
     Kind kind = Kind::Frozen;
     int round = 0;
@@ -51,6 +55,8 @@
     explicit HolderModel(Mutant mutant)
         : mutant_(mutant)
     {
+        if (mutant == Mutant::IgnoresRestores)
+            store_.era = 0;
         for (int i = 0; i < instances; ++i)
             start(i);
     }
@@ -62,7 +68,12 @@
     {
         for (int now = 0; now < rounds; ++now) {
             store_.advance(round);
+            for (const auto &fault : faults) {
+                if (fault.kind == Fault::Kind::Restored && fault.round == now && now > 0)
+                    store_.restore(static_cast<std::size_t>(fault.rounds - 1));
+            }
             store_.applyDelayed();
+            store_.saveCopy();
             for (int i = 0; i < instances; ++i)
                 runInstance(i, now, faults);
         }
@@ -94,10 +105,11 @@
 private:
     void start(int i)
     {
-        stores_[i] = store_.open(faults_[i]);
-        leases_[i].emplace(stores_[i],
-                           DutyHolder{InstanceId("i" + std::to_string(i)), ++incarnation_},
-                           settings, [this] { return store_.now; });
+        eras_[i].emplace([](StoreEra, StoreEra) {});
+        stores_[i] = store_.open(faults_[i], [this, i](StoreEra era) { eras_[i]->observe(era); });
+        leases_[i].emplace(
+            stores_[i], DutyHolder{InstanceId("i" + std::to_string(i)), ++incarnation_}, settings,
+            [this] { return store_.now; }, [this, i] { return eras_[i]->current(); });
     }
 
     void runInstance(int i, int now, const std::vector<Fault> &faults)
@@ -126,6 +138,8 @@
             case Fault::Kind::Stopped:
                 (void)leases_[i]->release();
                 return;
+            case Fault::Kind::Restored:
+                break;
             }
         }
         auto &lease = *leases_[i];
@@ -133,7 +147,7 @@
         act(i, lease);
         if (lease.acquired())
             (void)lease.renew();
-        else if (!store_.items.contains(std::string(dutyHolderKey)))
+        else
             (void)lease.acquire();
     }
 
@@ -151,6 +165,7 @@
     DutyStore store_;
     std::uint64_t incarnation_ = 0;
     StoreFault faults_[instances]{};
+    std::optional<StoreEraTracker> eras_[instances];
     SharedStore stores_[instances];
     std::optional<DutyLease> leases_[instances];
 };
@@ -169,6 +184,10 @@
             }
         }
     }
+    for (int at = 1; at < 8; ++at) {
+        for (const int age : {1, 3})
+            faults.push_back({Restored, at, 0, age});
+    }
     return faults;
 }
 
@@ -209,7 +228,8 @@
 
 // Guards against two holders that act at the same time, a fencing token that falls, and a holder
 // that returns too early: with lost and late answers of the store, freezes, restarts, leases that
-// end early and hand-overs. The mutants show that the exploration finds such faults.
+// end early, hand-overs and restores of the store from older copies. The mutants show that the
+// exploration finds such faults.
 TEST_P(DutyLeaseExploration, HoldersActInOrder)
 {
     int schedules = 0;
@@ -221,7 +241,8 @@
     Mutants, DutyLeaseExploration,
     testing::Values(ExplorationCase{"None", Mutant::None, false},
                     ExplorationCase{"SkipsCheckBeforeSend", Mutant::SkipsCheckBeforeSend, true},
-                    ExplorationCase{"SkipsTakeoverDelay", Mutant::SkipsTakeoverDelay, true}),
+                    ExplorationCase{"SkipsTakeoverDelay", Mutant::SkipsTakeoverDelay, true},
+                    ExplorationCase{"IgnoresRestores", Mutant::IgnoresRestores, true}),
     [](const auto &info) { return std::string(info.param.name); });
 
 // Guards against a holder that goes on after a hand-over, because a renewal that was on its way at
@@ -238,7 +259,9 @@
         (void)lease->release();
         return renewed;
     };
-    DutyLease holder(shared, {InstanceId("a"), 1}, settings, [&] { return store.now; });
+    DutyLease holder(
+        shared, {InstanceId("a"), 1}, settings, [&] { return store.now; },
+        [&] { return store.era; });
     lease = &holder;
     ASSERT_TRUE(holder.acquire());
     store.advance(milliseconds(2000));
