Do not believe a roll-out's write during which the store was restored

The revision of such a write may belong to either state of the store. The condition itself still comes from the copy of the store, whose era the copy has to name.

docs/design/duties.md says what holds for each thing that is written before it is acted on when the store forgets it.

--- a/modules/jy_gateway/assembly/GatewayRollouts.cpp
+++ b/modules/jy_gateway/assembly/GatewayRollouts.cpp
@@ -172,7 +172,10 @@
     if (step.phase != RolloutPhase::Moving)
         transaction.writes.push_back(
             adapter_.encodeRolloutReport({order.service, order.target, stateFor(step.phase)}));
-    const auto written = store_.commit(transaction);
+    const auto era = era_.current();
+    auto written = store_.commit(transaction);
+    if (era_.current() != era)
+        written = failure(ErrorKind::KvOutcomeUnknown, "the store was restored during the write");
     if (written) {
         progress.revision = written.value();
         fleet_.apply(RolloutProgressWritten{progress}, Clock::now());
