--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -109,7 +109,8 @@
              .merged = [this] { stateChanged(); },
              .readsStore = [this] { return storeReader_.readsDirectly(); },
              .latestEra = [this] { return era_.current(); }})
-    , registration_(store_, instanceKey(self_.id), encodeInstance(self_), {})
+    , registration_(store_, instanceKey(self_.id), encodeInstance(self_), {},
+                    [this] { return era_.current(); })
     , peers_(self_.id)
     , incarnation_(unixMilliseconds())
     , stalls_([this](const ServerId &server) { return isFull(server); })
@@ -118,6 +119,7 @@
     , rateLimits_(self_.id)
     , chooser_(fleet_, loads_, health_, backoff_, stalls_, cold_, rateLimits_)
     , duties_({.store = store_,
+               .storeEra = [this] { return era_.current(); },
                .api = adapter_.openDutyApi(*dutyClient_, settings_.duties.address,
                                            dutySettings().lease.callTimeout()),
                .metrics = metrics_,
