Recognise a request that crashes servers when it comes again

Cause: PromptQuarantine knows the prompt parts that requests share, and leaves out the last one. Nothing knew the request as a whole.

Six sound requests share all its shared parts, so these can't be refused.

Fix: a request's key (method, host, target, prompt, body) is one more key of PromptQuarantine, exchanged in the same entries, so messages stay as they are and old builds take part. Two begun responses or four requests are enough for a whole request, as other requests rarely share its key, and it is refused while others may still object. The check before each attempt also stops repeats of the same attempt chain. A crash under the repeat of such a request is weak evidence against its parts, which sound requests share.

Ruled out: that one request ends several servers by attempts alone on this site (the route has one attempt); prompt parts (sound requests with the same parts were answered throughout).

CrashingRequestTest failed before: 8, 16 and 8 servers ended where 2, 3 and 2 are allowed, and the last request got 502 instead of 503.

--- a/modules/jy_gateway/limits/PromptQuarantine.cpp
+++ b/modules/jy_gateway/limits/PromptQuarantine.cpp
@@ -51,29 +51,33 @@
     });
 }
 
-void PromptQuarantine::responseCompleted(const std::vector<PromptPartKey> &parts, TimePoint now)
+void PromptQuarantine::responseCompleted(const RequestKeys &keys, TimePoint now)
 {
-    for (const auto part : parts)
-        noteCompleted(part, now);
+    for (const auto part : keys.parts)
+        noteCompleted(part, KeyScope::Part, now);
+    if (keys.request)
+        noteCompleted(*keys.request, KeyScope::WholeRequest, now);
 }
 
-void PromptQuarantine::noteCompleted(PromptPartKey part, TimePoint time)
+void PromptQuarantine::noteCompleted(PromptPartKey key, KeyScope scope, TimePoint time)
 {
-    if (time - completedSince_ > soundTime || completed_.size() >= maxCompleted) {
-        completedBefore_ = std::exchange(completed_, {});
-        completedSince_ = time;
+    auto &completed = scope == KeyScope::Part ? completedParts_ : completedRequests_;
+    if (time - completed.since > soundTime || completed.latest.size() >= maxCompleted) {
+        completed.before = std::exchange(completed.latest, {});
+        completed.since = time;
     }
-    auto &latest = completed_[part];
+    auto &latest = completed.latest[key];
     latest = std::max(latest, time);
-    suspects_.erase(part);
-    if (quarantined_.erase(part) > 0)
-        changes_.push_back({.part = part, .quarantined = false});
+    suspects_.erase(key);
+    if (quarantined_.erase(key) > 0)
+        changes_.push_back({.part = key, .quarantined = false});
 }
 
 std::optional<TimePoint> PromptQuarantine::lastCompleted(PromptPartKey part) const
 {
     std::optional<TimePoint> latest;
-    for (const auto *times : {&completed_, &completedBefore_}) {
+    for (const auto *times : {&completedParts_.latest, &completedParts_.before,
+                              &completedRequests_.latest, &completedRequests_.before}) {
         const auto found = times->find(part);
         if (found != times->end())
             latest = std::max(latest.value_or(found->second), found->second);
@@ -87,32 +91,50 @@
     return completed && now - *completed <= soundTime;
 }
 
-void PromptQuarantine::connectionEnded(const std::vector<PromptPartKey> &parts,
-                                       const ServerId &server, CrashEvidence evidence,
-                                       TimePoint now)
+void PromptQuarantine::connectionEnded(const RequestKeys &keys, const ServerId &server,
+                                       CrashEvidence evidence, TimePoint now)
 {
     const auto serverHash = static_cast<std::uint32_t>(stableHash(server.value()));
-    for (const auto part : parts) {
-        const Crash crash{evidence, now};
-        if (!addCrash(part, serverHash, crash))
-            continue;
-        queueCrash(heartbeats_, {part, serverHash, crash});
-        queueCrash(groupReports_, {part, serverHash, crash, 1});
+    auto partEvidence = evidence;
+    if (keys.request) {
+        if (hasEndedAnother(*keys.request, serverHash))
+            partEvidence = CrashEvidence::BeforeResponse;
+        noteCrash(*keys.request, serverHash, {evidence, now});
+        evaluateRequest(*keys.request, now);
     }
+    for (const auto part : keys.parts)
+        noteCrash(part, serverHash, {partEvidence, now});
 }
 
-bool PromptQuarantine::addCrash(PromptPartKey part, std::uint32_t server, const Crash &crash)
+void PromptQuarantine::noteCrash(PromptPartKey key, std::uint32_t server, const Crash &crash)
 {
-    const auto completed = lastCompleted(part);
+    if (!addCrash(key, server, crash))
+        return;
+    queueCrash(heartbeats_, {key, server, crash});
+    queueCrash(groupReports_, {key, server, crash, 1});
+}
+
+bool PromptQuarantine::hasEndedAnother(PromptPartKey request, std::uint32_t server) const
+{
+    const auto found = suspects_.find(request);
+    return quarantined_.contains(request)
+        || (found != suspects_.end()
+            && std::ranges::any_of(found->second.crashes,
+                                   [&](const auto &entry) { return entry.first != server; }));
+}
+
+bool PromptQuarantine::addCrash(PromptPartKey key, std::uint32_t server, const Crash &crash)
+{
+    const auto completed = lastCompleted(key);
     if (completed && *completed >= crash.time)
         return false;
-    if (suspects_.size() >= maxSuspects && !suspects_.contains(part))
+    if (suspects_.size() >= maxSuspects && !suspects_.contains(key))
         suspects_.erase(std::ranges::min_element(
             suspects_, {}, [](const auto &entry) { return totalWeight(entry.second); }));
-    auto [known, added] = suspects_[part].crashes.try_emplace(server, crash);
+    auto [known, added] = suspects_[key].crashes.try_emplace(server, crash);
     if (!added)
         known->second.evidence = std::max(known->second.evidence, crash.evidence);
-    return added && !isSound(part, crash.time);
+    return added && !isSound(key, crash.time);
 }
 
 int PromptQuarantine::totalWeight(const Suspect &suspect)
@@ -140,7 +162,7 @@
     if (found == suspects_.end() || quarantined_.contains(part))
         return;
     auto &suspect = found->second;
-    if (isSound(part, now) || totalWeight(suspect) < threshold) {
+    if (isSound(part, now) || totalWeight(suspect) < thresholdOf(suspect.scope)) {
         suspect.suspectedSince.reset();
         return;
     }
@@ -150,8 +172,28 @@
         startQuarantine(part, {.nextProbe = now + probeInterval(0)});
 }
 
+void PromptQuarantine::evaluateRequest(PromptPartKey request, TimePoint now)
+{
+    const auto found = suspects_.find(request);
+    if (found != suspects_.end())
+        found->second.scope = KeyScope::WholeRequest;
+    evaluate(request, now);
+}
+
+std::optional<milliseconds> PromptQuarantine::objectionWait(PromptPartKey request,
+                                                            TimePoint now) const
+{
+    const auto found = suspects_.find(request);
+    if (found == suspects_.end() || !found->second.suspectedSince)
+        return std::nullopt;
+    return toMilliseconds(*found->second.suspectedSince + objectionTime_ - now);
+}
+
 void PromptQuarantine::startQuarantine(PromptPartKey part, const Quarantine &quarantine)
 {
+    if (quarantined_.size() >= maxQuarantines && !quarantined_.contains(part))
+        quarantined_.erase(std::ranges::min_element(
+            quarantined_, {}, [](const auto &entry) { return entry.second.nextProbe; }));
     quarantined_[part] = quarantine;
     queuePart(heartbeats_.quarantined, part);
     queuePart(groupReports_.quarantined, part);
@@ -162,15 +204,22 @@
          .servers = suspect == suspects_.end() ? 0 : suspect->second.crashes.size()});
 }
 
-std::optional<milliseconds> PromptQuarantine::check(const std::vector<PromptPartKey> &parts,
-                                                    TimePoint now)
+std::optional<milliseconds> PromptQuarantine::check(const RequestKeys &keys, TimePoint now)
 {
     if (suspects_.empty() && quarantined_.empty())
         return std::nullopt;
     std::vector<std::pair<PromptPartKey, Quarantine *>> matches;
     std::optional<milliseconds> wait;
-    for (const auto part : parts) {
+    auto all = keys.parts;
+    for (const auto part : keys.parts)
         evaluate(part, now);
+    if (keys.request) {
+        evaluateRequest(*keys.request, now);
+        if (!quarantined_.contains(*keys.request))
+            wait = objectionWait(*keys.request, now);
+        all.push_back(*keys.request);
+    }
+    for (const auto part : all) {
         const auto found = quarantined_.find(part);
         if (found == quarantined_.end())
             continue;
@@ -291,7 +340,7 @@
     for (const auto &sound : report.sound) {
         objections_[sound.part] = now;
         if (sound.age <= soundTime)
-            noteCompleted(sound.part, now - sound.age);
+            noteCompleted(sound.part, KeyScope::Part, now - sound.age);
     }
     for (const auto &crash : report.crashes) {
         answerSuspicion(crash.part, now);
--- a/modules/jy_gateway/limits/PromptQuarantine.h
+++ b/modules/jy_gateway/limits/PromptQuarantine.h
@@ -2,7 +2,7 @@
 
 #include "jy_base/ids/Ids.h"
 #include "jy_base/time/TimeTypes.h"
-#include "jy_gateway/placement/PromptAffinity.h"
+#include "jy_gateway/limits/RequestKeys.h"
 
 #include <chrono>
 #include <cstdint>
@@ -20,7 +20,11 @@
     ResponseBegun, /**< the head had arrived, but no event or part of the body */
 };
 
-/** A server that ended its connection while it ran a request with a prompt part. */
+/** What a key identifies. */
+enum class KeyScope { Part, WholeRequest };
+
+/** A server that ended its connection while it ran a request with a prompt part, or one that is the
+ * same as a whole. */
 struct PartCrash
 {
     PromptPartKey part = 0;
@@ -33,7 +37,7 @@
     std::chrono::milliseconds age{0};
 };
 
-/** A prompt part whose requests are refused. */
+/** A prompt part or a request that is refused. */
 struct QuarantinedPart
 {
     PromptPartKey part = 0;
@@ -45,7 +49,7 @@
     std::chrono::milliseconds untilProbe{0};
 };
 
-/** A suspected part to which a server has recently completed a response. */
+/** A suspected part or request to which a server has recently completed a response. */
 struct SoundPart
 {
     PromptPartKey part = 0;
@@ -54,7 +58,7 @@
     std::chrono::milliseconds age{0};
 };
 
-/** What instances tell each other about prompt parts that may crash servers. */
+/** What instances tell each other about prompt parts and requests that may crash servers. */
 struct PartReport
 {
     std::vector<PartCrash> crashes;
@@ -65,7 +69,8 @@
 };
 
 /**
- * Finds prompt parts that crash the servers which process them, and refuses their requests.
+ * Finds prompt parts and whole requests that crash the servers which process them, and refuses
+ * them. What holds for a part below holds for a whole request too.
  *
  * Each request with such a part ends one more server and the other requests there, whichever
  * server and instance it reaches. A part is quarantined once several servers have ended their
@@ -78,16 +83,21 @@
  * on too, so that an instance that has just started learns of them. One of the instances lets a
  * request through after growing intervals; if it is answered, the quarantine ends everywhere.
  *
+ * Fewer crashes are enough for a whole request than for a part, as other requests rarely share its
+ * key. It is refused from then on, also while others may still object. A crash under the repeat of
+ * a request that has already ended another server is weak evidence against its parts.
+ *
  * The load that this answers: any rate of requests with a crashing part, while other requests share
- * all of its other parts.
+ * all of its other parts; and any rate of one crashing request, sent by any number of callers.
  */
 class PromptQuarantine
 {
 public:
-    /** Sum of the weights of crashes from which a part is quarantined. */
-    static constexpr int threshold = 6;
+    /** Sum of the weights of crashes from which a part or a request is quarantined. */
+    static constexpr int thresholdOf(KeyScope scope) { return scope == KeyScope::Part ? 6 : 4; }
 
-    /** Weight of a crash by its evidence: three begun responses or six requests are enough. */
+    /** Weight of a crash by its evidence: three begun responses or six requests are enough for a
+     * part, two or four for a whole request. */
     static constexpr int weightOf(CrashEvidence evidence)
     {
         return evidence == CrashEvidence::ResponseBegun ? 2 : 1;
@@ -111,13 +121,16 @@
     /** Maximum number of entries of a kind that wait to be sent. */
     static constexpr std::size_t maxPending = 16;
 
+    /** Maximum number of quarantines; callers may make up any number of crashing requests. */
+    static constexpr std::size_t maxQuarantines = 256;
+
     /** Number of quarantines that a complete heartbeat repeats. */
     static constexpr std::size_t repeatedQuarantines = 2;
 
     /** Number of heartbeats that carry an entry, so that one lost datagram does no harm. */
     static constexpr int sendsPerEntry = 2;
 
-    /** A part whose quarantine began or ended. */
+    /** A part or request whose quarantine began or ended. */
     struct Change
     {
         PromptPartKey part = 0;
@@ -135,21 +148,20 @@
     /** Sets the time that others get to object: that of a report and of the response to it. */
     void setObjectionTime(std::chrono::milliseconds time) { objectionTime_ = time; }
 
-    /** A server completed its response to a request with these parts. */
-    void responseCompleted(const std::vector<PromptPartKey> &parts, TimePoint now);
+    /** A server completed its response to a request with these keys. */
+    void responseCompleted(const RequestKeys &keys, TimePoint now);
 
-    /** A server ended its connection while it ran a request with these parts. */
-    void connectionEnded(const std::vector<PromptPartKey> &parts, const ServerId &server,
-                         CrashEvidence evidence, TimePoint now);
+    /** A server ended its connection while it ran a request with these keys. */
+    void connectionEnded(const RequestKeys &keys, const ServerId &server, CrashEvidence evidence,
+                         TimePoint now);
 
     /**
-     * Whether a request with these parts may be sent to a server. Lets one request through when a
+     * Whether a request with these keys may be sent to a server. Lets one request through when a
      * probe is due.
      *
      * @returns nothing if it may, otherwise the time after which it may be tried again
      */
-    std::optional<std::chrono::milliseconds> check(const std::vector<PromptPartKey> &parts,
-                                                   TimePoint now);
+    std::optional<std::chrono::milliseconds> check(const RequestKeys &keys, TimePoint now);
 
     /** Takes what the next heartbeat says about parts; nothing while none is suspected.
      *
@@ -181,6 +193,9 @@
 
     struct Suspect
     {
+        /** That of a key that others reported is known from the first request with it. */
+        KeyScope scope = KeyScope::Part;
+
         /** By the hash of the server's id: a server that fails repeatedly counts once. */
         std::map<std::uint32_t, Crash> crashes;
 
@@ -215,12 +230,33 @@
     PartReport take(Outbox &outbox, std::size_t maxEntries, TimePoint now);
     QuarantinedPart describe(PromptPartKey part, TimePoint now) const;
 
+    /** Last completed response by key, in two periods, so that old ones are dropped without a
+     * search. */
+    struct Completions
+    {
+        std::unordered_map<PromptPartKey, TimePoint> latest;
+        std::unordered_map<PromptPartKey, TimePoint> before;
+        TimePoint since;
+    };
+
+    void noteCrash(PromptPartKey key, std::uint32_t server, const Crash &crash);
+
+    /** Sets the scope of a request's suspected key, and evaluates the key. */
+    void evaluateRequest(PromptPartKey request, TimePoint now);
+
+    /** Whether another server than this one ended under the whole request before. */
+    bool hasEndedAnother(PromptPartKey request, std::uint32_t server) const;
+
+    /** Time for which a whole request is refused while others may object to its quarantine. */
+    std::optional<std::chrono::milliseconds> objectionWait(PromptPartKey request,
+                                                           TimePoint now) const;
+
     /** Another instance suspects the part: objects if this one knows better. */
     void answerSuspicion(PromptPartKey part, TimePoint now);
 
     /** @returns whether the crash was not known and the part is not known to be sound */
-    bool addCrash(PromptPartKey part, std::uint32_t server, const Crash &crash);
-    void noteCompleted(PromptPartKey part, TimePoint time);
+    bool addCrash(PromptPartKey key, std::uint32_t server, const Crash &crash);
+    void noteCompleted(PromptPartKey key, KeyScope scope, TimePoint time);
     std::optional<TimePoint> lastCompleted(PromptPartKey part) const;
     bool isSound(PromptPartKey part, TimePoint now) const;
     static int totalWeight(const Suspect &suspect);
@@ -229,8 +265,6 @@
     void evaluate(PromptPartKey part, TimePoint now);
     void startQuarantine(PromptPartKey part, const Quarantine &quarantine);
 
-    using CompletionTimes = std::unordered_map<PromptPartKey, TimePoint>;
-
     InstanceId self_;
     bool isProber_ = true;
     std::chrono::milliseconds objectionTime_{300};
@@ -246,11 +280,9 @@
     /** When this instance or another one last objected to the suspicion of a part. */
     std::map<PromptPartKey, TimePoint> objections_;
 
-    /** Last completed response by part: those since @c completedSince_, and of the period before,
-     * so that old ones are dropped without a search. */
-    CompletionTimes completed_;
-    CompletionTimes completedBefore_;
-    TimePoint completedSince_;
+    /** Apart, because whole requests are many and would displace the parts. */
+    Completions completedParts_;
+    Completions completedRequests_;
 
     std::vector<Change> changes_;
 };
--- a/modules/jy_gateway/relay/RelayEnding.cpp
+++ b/modules/jy_gateway/relay/RelayEnding.cpp
@@ -57,7 +57,8 @@
         giveUp();
         return;
     }
-    sendError({ErrorKind::PromptQuarantined, "a part of the prompt crashes servers", retryAfter});
+    sendError({ErrorKind::PromptQuarantined, "the request or a part of its prompt crashes servers",
+               retryAfter});
 }
 
 void RelayExchange::giveUp()
--- a/modules/jy_gateway/relay/RelayEvidence.cpp
+++ b/modules/jy_gateway/relay/RelayEvidence.cpp
@@ -52,7 +52,7 @@
 {
     const auto now = Clock::now();
     if (point != BreakPoint::InBody)
-        relay_.dependencies_.quarantine.connectionEnded(parts_, server,
+        relay_.dependencies_.quarantine.connectionEnded(keys_, server,
                                                         point == BreakPoint::AfterHead
                                                             ? CrashEvidence::ResponseBegun
                                                             : CrashEvidence::BeforeResponse,
@@ -66,7 +66,8 @@
               {"attempt", outcome_.attempts},
               {"point", names[static_cast<std::size_t>(point)]},
               {"after_ms", now - attemptStart_},
-              {"parts", absl::StrJoin(parts_, ",")}});
+              {"parts", absl::StrJoin(keys_.parts, ",")},
+              {"content", keys_.request.value_or(0)}});
 }
 
 void RelayExchange::noteBegan(TimePoint time)
@@ -108,7 +109,7 @@
 {
     record(server, ServerOutcome::Succeeded);
     recordForRollout(true);
-    relay_.dependencies_.quarantine.responseCompleted(parts_, Clock::now());
+    relay_.dependencies_.quarantine.responseCompleted(keys_, Clock::now());
 }
 
 void RelayExchange::beginSample(const ServerState &server)
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -60,7 +60,7 @@
     , bufferLease_(relay.dependencies_.bodyBudget)
 {
     query_.service = pickService(route, relay.draw());
-    parts_ = sharedParts(metadata.prompt);
+    keys_ = keysOf(request, metadata.prompt);
     query_.affinity = route.cachesPrompts ? promptAffinity(metadata.prompt) : 0;
     query_.sharedTokens = sharedTokens(metadata.prompt);
     if (query_.affinity == 0)
@@ -75,7 +75,7 @@
 {
     relay_.budgetFor(query_.service).recordAttempt(start_);
     while (true) {
-        if (const auto wait = relay_.dependencies_.quarantine.check(parts_, Clock::now())) {
+        if (const auto wait = relay_.dependencies_.quarantine.check(keys_, Clock::now())) {
             refuseQuarantined(*wait);
             break;
         }
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -129,7 +129,7 @@
     TimePoint lastPart_;
 
     /** Keys of the prompt parts that other requests may share. */
-    std::vector<PromptPartKey> parts_;
+    RequestKeys keys_;
 
     /** Whether the current attempt has received the first part of an event stream. */
     bool responseStarted_ = false;
