--- a/modules/jy_gateway/relay/RelayEnding.cpp
+++ b/modules/jy_gateway/relay/RelayEnding.cpp
@@ -29,7 +29,7 @@
             .returnBudget = [this] { relay_.budgetFor(query_.service).returnRetry(retryGranted_); },
             .place =
                 [this](bool responsiveOnly) {
-                    if (relay_.dependencies_.quarantine.check(parts_, Clock::now()))
+                    if (relay_.dependencies_.quarantine.check(keys_, Clock::now()))
                         return Placement{};
                     query_.responsiveOnly = responsiveOnly;
                     auto placement = place();
@@ -105,7 +105,8 @@
         giveUp();
         return;
     }
-    sendError({ErrorKind::PromptQuarantined, "a part of the prompt crashes servers", retryAfter});
+    sendError({ErrorKind::PromptQuarantined, "the request or a part of its prompt crashes servers",
+               retryAfter});
 }
 
 void RelayExchange::giveUp()
