Let odd entries of other writers name no server

But an entry with a number out of range or with port 0 named a server to use, conversions of such numbers are undefined (slots of 1e300 or, times of 1e300 ms that overflow when added to the present), a key that is not UTF-8 made the whole page of the store unreadable, and a value that is not base64 left the entry before it in force.

Cause: numbers were cast where they are used, without their range, and the unit of a parse error was the page in one place. Every number of an entry is now checked where it is read; a field that is present but not usable makes the entry unreadable, with one line in the log and the reason. Missing optional fields keep their defaults, as before. Invalid keys and values concern their item alone.

Ruled out: deep nesting (200 and 10,000 levels) does not end a process.

--- a/modules/jy_gateway/registry/InstanceEntry.cpp
+++ b/modules/jy_gateway/registry/InstanceEntry.cpp
@@ -6,6 +6,9 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace jy {
 
 namespace {
@@ -18,16 +21,29 @@
     if (!value || !value->is_string())
         return std::nullopt;
     const auto endpoint = endpointFromString(std::string_view(value->get_string()));
-    if (!endpoint)
+    if (!endpoint || endpoint.value().port == 0)
         return std::nullopt;
     return endpoint.value();
 }
 
-/** @returns 0 if the field is missing, as in entries of older versions */
-int readInt(const boost::json::object &object, std::string_view name)
+/**
+ * @returns 0 if the field is missing, as in entries of older versions; nothing if it is no whole
+ * number, is negative or is too large for an int
+ */
+std::optional<int> readCount(const boost::json::object &object, std::string_view name)
 {
     const auto *value = object.if_contains(name);
-    return value && value->is_int64() ? static_cast<int>(value->get_int64()) : 0;
+    if (!value)
+        return 0;
+    if (!value->is_int64() || value->get_int64() < 0 || !std::in_range<int>(value->get_int64()))
+        return std::nullopt;
+    return static_cast<int>(value->get_int64());
+}
+
+/** Whether @p id can be named in messages between instances. */
+bool isInstanceId(std::string_view id)
+{
+    return !id.empty() && std::ranges::all_of(id, [](char c) { return c > ' ' && c <= '~'; });
 }
 
 } // namespace
@@ -60,7 +76,9 @@
     const auto caller = object ? readEndpoint(*object, "caller") : std::nullopt;
     const auto peer = object ? readEndpoint(*object, "peer") : std::nullopt;
     const auto control = object ? readEndpoint(*object, "control") : std::nullopt;
-    if (!caller || !peer || !control) {
+    const auto linkMbps = object ? readCount(*object, "link_mbps") : std::nullopt;
+    const auto milliCores = object ? readCount(*object, "milli_cores") : std::nullopt;
+    if (!isInstanceId(id.value()) || !caller || !peer || !control || !linkMbps || !milliCores) {
         logEvent(LogLevel::Warn, "instance-entry-unreadable",
                  {{"instance", id}, {"revision", item.revision}});
         return InstanceRemoved{id};
@@ -69,8 +87,8 @@
     RegisteredInstance instance{id, *caller, *peer, *control, {}};
     if (domain && domain->is_string())
         instance.domain = DomainId(std::string(domain->get_string()));
-    instance.linkMbps = readInt(*object, "link_mbps");
-    instance.milliCores = readInt(*object, "milli_cores");
+    instance.linkMbps = *linkMbps;
+    instance.milliCores = *milliCores;
     return InstanceWritten{std::move(instance)};
 }
 
--- a/tests/jy_gateway/StoreMirrorTest.cpp
+++ b/tests/jy_gateway/StoreMirrorTest.cpp
@@ -115,6 +115,27 @@
                          testing::Values("", "{", "[]", "{}", R"({"caller":1,"peer":2})",
                                          R"({"caller":"x","peer":"10.0.0.1:2"})"));
 
+// Entries with a value out of range in one field.
+INSTANTIATE_TEST_SUITE_P(
+    Values, MalformedEntryTest,
+    testing::Values(
+        R"({"caller":"10.0.0.1:0","peer":"10.0.0.1:2","control":"10.0.0.1:3"})",
+        R"({"caller":"10.0.0.1:65536","peer":"10.0.0.1:2","control":"10.0.0.1:3"})",
+        R"({"caller":"10.0.0.1:1","peer":"10.0.0.1:2","control":"10.0.0.1:3","link_mbps":-1})",
+        R"({"caller":"10.0.0.1:1","peer":"10.0.0.1:2","control":"10.0.0.1:3","link_mbps":4294967297})",
+        R"({"caller":"10.0.0.1:1","peer":"10.0.0.1:2","control":"10.0.0.1:3","milli_cores":1e300})",
+        R"({"caller":"10.0.0.1:1","peer":"10.0.0.1:2","control":"10.0.0.1:3","milli_cores":"8"})"));
+
+TEST(InstanceEntryTest, IdThatMessagesCannotCarryIsTreatedAsRemoved)
+{
+    const RegisteredInstance instance{
+        InstanceId("i\xff\xfe"), {"10.0.0.1", 1}, {"10.0.0.1", 2}, {"10.0.0.1", 3}, {}};
+    const auto change =
+        decodeInstance({instanceKey(instance.id), encodeInstance(instance), 4, false});
+    ASSERT_TRUE(change);
+    EXPECT_TRUE(std::holds_alternative<InstanceRemoved>(*change));
+}
+
 } // namespace
 
 } // namespace jy::test
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -91,6 +91,90 @@
                     R"({"service":"s","address":"10.0.0.9:80","state":"resting"})",
                     R"({"service":"s","address":"10.0.0.9:80"})"));
 
+std::string nested(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/** Fields that replace or extend those of a valid entry. */
+struct OddEntry
+{
+    std::string name;
+    std::string fields;
+    std::string address = "10.0.0.9:80";
+    std::string id = "i-1";
+};
+
+class OddServerEntry : public testing::TestWithParam<OddEntry>
+{ };
+
+// Guards against entries of other writers that name a server to use with values out of range.
+TEST_P(OddServerEntry, NamesNoServer)
+{
+    const auto value = R"({"service":"s","state":"ready","address":")" + GetParam().address + '"'
+        + GetParam().fields + '}';
+    const auto change = decodeFleetChange({"servers/" + GetParam().id, value, 5, false});
+    EXPECT_NE(changeOf<ServerRemoved>(change), nullptr) << value;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Entries, OddServerEntry,
+    testing::Values(
+        OddEntry{"Depth200", R"(,"more":)" + nested(200)},
+        OddEntry{"Depth10000", R"(,"more":)" + nested(10'000)},
+        OddEntry{"InfiniteSlots", R"(,"slots":1e999)"}, OddEntry{"HugeSlots", R"(,"slots":1e300)"},
+        OddEntry{"Slots63Bits", R"(,"slots":9223372036854775808)"},
+        OddEntry{"Slots32Bits", R"(,"slots":4294967297)"},
+        OddEntry{"NegativeSlots", R"(,"slots":-1)"}, OddEntry{"FractionOfASlot", R"(,"slots":1.5)"},
+        OddEntry{"SlotsAsText", R"(,"slots":"8")"},
+        OddEntry{"InfinitelyCold", R"(,"cold_left_ms":1e999)"},
+        OddEntry{"ColdForever", R"(,"cold_left_ms":1e300)"},
+        OddEntry{"Cold63Bits", R"(,"cold_left_ms":9223372036854775808)"},
+        OddEntry{"ColdAsText", R"(,"cold_left_ms":"1")"},
+        OddEntry{"BornTooLate", R"(,"born":1e300)"}, OddEntry{"BornAsText", R"(,"born":"1")"},
+        OddEntry{"ZoneAsNumber", R"(,"zone":1)"}, OddEntry{"VersionAsList", R"(,"version":[])"},
+        OddEntry{"LineBreakInVersion", R"(,"version":"a\r\nb")"},
+        OddEntry{"Port0", "", "10.0.0.9:0"}, OddEntry{"Port65536", "", "10.0.0.9:65536"},
+        OddEntry{"PortOf11Digits", "", "10.0.0.9:99999999999"},
+        OddEntry{"NegativePort", "", "10.0.0.9:-1"}, OddEntry{"NoPort", "", "10.0.0.9"},
+        OddEntry{"BareIpv6", "", "::1:80"}, OddEntry{"Ipv6Port65536", "", "[::1]:65536"},
+        OddEntry{"LineBreakInId", "", "10.0.0.9:80", "i\r\nHost: x"},
+        OddEntry{"IdNotAscii", "", "10.0.0.9:80", "i\xff\xfe"}),
+    [](const auto &info) { return info.param.name; });
+
+// Guards against sound entries that are taken for unreadable ones.
+TEST(FleetCodecTest, ServerWithUnusualButValidFields)
+{
+    for (const auto *fields : {R"(,"cold_left_ms":-1)", R"(,"cold_left_ms":1500.5)",
+                               R"(,"slots":0)", R"(,"zone":null,"born":1789000000123)", ""}) {
+        const auto change = decodeFleetChange(
+            {"servers/i-1",
+             R"({"service":"s","address":"[::1]:80","state":"ready")" + std::string(fields) + '}',
+             5, false});
+        const auto *written = changeOf<ServerWritten>(change);
+        ASSERT_NE(written, nullptr) << fields;
+        EXPECT_EQ(written->server.slots, 1);
+    }
+}
+
+// Guards against numbers of the configuration that wrap around.
+TEST(FleetCodecTest, NumbersOutOfRangeInAConfigurationCountAsMissing)
+{
+    const auto change = decodeFleetChange({"op/config", R"({"version":1,"routes":[{"host":"h",
+        "prefix":"/","service":"s","timeout_ms":1e300,"max_attempts":4294967298,"priority":1e300}],
+        "services":[],"limits":{"max_header_bytes":-1,"idle_timeout_ms":1e999}})",
+                                           5, false});
+    const auto *written = changeOf<ConfigWritten>(change);
+    ASSERT_NE(written, nullptr);
+    const auto *route = written->config->findRoute("h", "/");
+    ASSERT_NE(route, nullptr);
+    EXPECT_EQ(route->timeout, Route().timeout);
+    EXPECT_EQ(route->maxAttempts, 1);
+    EXPECT_EQ(route->priority, 0);
+    EXPECT_EQ(written->config->limits.maxHeadBytes, CallerLimits().maxHeadBytes);
+    EXPECT_EQ(written->config->limits.idleTimeout, CallerLimits().idleTimeout);
+}
+
 RC_GTEST_PROP(FleetCodecTest, ArbitraryValuesAreDecodedOrIgnored, (const std::string &value))
 {
     for (const char *key :
--- a/tests/platform/GatewayProcessTest.cpp
+++ b/tests/platform/GatewayProcessTest.cpp
@@ -253,6 +253,55 @@
     });
 }
 
+// Guards against one odd entry of another writer that ends the instances, or their following of the
+// store.
+TEST(GatewayProcessTest, OddEntriesDoNotHideLaterChanges)
+{
+    withFleet([](GatewayFleet &fleet) {
+        int runs = 0;
+        fleet.addBackend(runs);
+        fleet.configure(1);
+        fleet.start(4);
+        ASSERT_TRUE(within(startBound, [&] { return fleet.allReady(); }));
+        const std::string deep = std::string(10'000, '[') + std::string(10'000, ']');
+        int version = 1;
+        const auto follow = [&](const std::string &step) {
+            const auto prefix = "/v" + std::to_string(++version) + '/';
+            fleet.configure(version, prefix);
+            EXPECT_TRUE(within(configBound + seconds(1), [&] {
+                return std::ranges::all_of(fleet.instances, [&](const auto &instance) {
+                    return fleet.call(instance, prefix + 'x') == 200;
+                });
+            })) << step;
+        };
+        const auto entry = [](const std::string &more) {
+            return R"({"service":"s","address":"127.0.0.1:9","state":"ready")" + more + '}';
+        };
+        fleet.store.put("servers/deep", deep);
+        fleet.store.put("servers/deep-field", entry(R"(,"more":)" + deep));
+        follow("deeply nested");
+        for (const auto *number : {"1e999", "1e300", "-1", "9223372036854775808", "1.5"})
+            fleet.store.put("servers/n" + std::string(number),
+                            entry(R"(,"slots":)" + std::string(number) + R"(,"cold_left_ms":)"
+                                  + number + R"(,"born":)" + number));
+        follow("numbers out of range");
+        for (const auto *port : {"0", "65536", "99999999999", "-1"})
+            fleet.store.put("servers/p" + std::string(port),
+                            R"({"service":"s","address":"127.0.0.1:)" + std::string(port)
+                                + R"(","state":"ready"})");
+        fleet.store.put("instances/odd",
+                        R"({"caller":"127.0.0.1:0","peer":"127.0.0.1:0",)"
+                        R"("control":"127.0.0.1:0","link_mbps":1e300})");
+        follow("ports out of range");
+        fleet.store.put("servers/\xff\xfe", entry(""));
+        follow("key with odd bytes");
+        fleet.store.forgetHistory();
+        follow("complete list with odd entries");
+        EXPECT_TRUE(std::ranges::all_of(
+            fleet.instances, [](const auto &instance) { return instance.process->running(); }));
+    });
+}
+
 TEST(GatewayProcessTest, GracefulShutdownFinishesRunningRequests)
 {
     withFleet([](GatewayFleet &fleet) {
