Answer every request in a planned stop

Callers of a similar system lost requests in the planned stop of one machine: requests that came late in the grace period were passed on and cut without an answer at its end, among them such that may not be repeated. The same happened here: the relay passed a request on whenever it was complete, and 0.6 s before the end of the grace period the process closed all sockets, also those of running requests and of requests that were still arriving.

Now the relay asks ShutdownAdmission: later than 2.5 s after SIGTERM, when addresses from the directory have expired, a request is passed on only if its deadline comes before running requests are interrupted; otherwise it gets 503, not run, with a time to return. After the drain, HttpServer::interrupt ends what is left: a running request gets 504, which promises nothing, a begun stream breaks off, a request that is still arriving gets 503, and the cancelled exchange closes the connection to its server. The response is written by the fiber of the connection after its handler has returned, so no two fibers write to one socket.

Ruled out: a pipelined request after the announced close is not read (GracefulStop), so it is not passed on.

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -26,6 +26,9 @@
 // Part of the grace period reserved for the exit of the process after the last request.
 constexpr milliseconds exitMargin{600};
 
+// Part of the exit margin in which interrupted requests get their final responses.
+constexpr milliseconds finalResponseTime{250};
+
 // Idle timeout of connections to backend servers that do not announce their own.
 constexpr milliseconds serverIdleTimeout{10000};
 
@@ -142,6 +145,8 @@
               .readyAfter =
                   [this] { return sync_.lost() ? storeOutageRetryAfter : startupRetryAfter; },
               .minimumRetryRate = [this] { return minimumRetryRate(); },
+              .admits = [this](TimePoint now,
+                               TimePoint deadline) { return admission_.admits(now, deadline); },
               .attemptBegan = [this](const WorkspaceId &workspace,
                                      TimePoint began) { duties_.attemptBegan(workspace, began); }},
              {}, randomSeed())
@@ -309,11 +314,13 @@
 
 void Gateway::shutDown()
 {
-    const auto end = Clock::now()
+    const auto begin = Clock::now();
+    const auto end = begin
         + std::chrono::duration_cast<milliseconds>(
                          std::chrono::duration<double>(settings_.bounds.graceSeconds))
         - exitMargin;
     stopping_ = true;
+    admission_.begin(begin + drainDelay, end);
     sendHeartbeat(HeartbeatScope::AllInstances);
     callerServer_->announceClose();
     EventLoop::spawn([this] { registration_.withdraw(); });
@@ -321,6 +328,7 @@
     EventLoop::sleepFor(drainDelay);
     const auto left = std::chrono::duration_cast<milliseconds>(end - Clock::now());
     const auto interrupted = callerServer_->drain(std::max(milliseconds(1), left));
+    callerServer_->interrupt(finalResponseTime);
     logEvent(LogLevel::Info, "stopped", {{"interrupted", interrupted}});
 }
 
--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -13,6 +13,7 @@
 #include "jy_gateway/registry/Registration.h"
 #include "jy_gateway/registry/StoreSync.h"
 #include "jy_gateway/relay/RequestRelay.h"
+#include "jy_gateway/relay/ShutdownAdmission.h"
 #include "jy_gateway/rollouts/RolloutJudge.h"
 #include "jy_gateway/rollouts/RolloutTraffic.h"
 #include "jy_gateway/settings/GatewaySettings.h"
@@ -176,6 +177,7 @@
     PromptCacheIndex prompts_;
     DutyRunner duties_;
     RolloutTraffic rolloutTraffic_;
+    ShutdownAdmission admission_;
 
     /** Judgement of the rollout of a service. */
     struct JudgedRollout
--- a/modules/jy_gateway/jy_gateway.h
+++ b/modules/jy_gateway/jy_gateway.h
@@ -46,6 +46,7 @@
 #include "jy_gateway/relay/EventSplitter.h"
 #include "jy_gateway/relay/RequestRelay.h"
 #include "jy_gateway/relay/ResponseRules.h"
+#include "jy_gateway/relay/ShutdownAdmission.h"
 #include "jy_gateway/rollouts/RolloutJudge.h"
 #include "jy_gateway/rollouts/RolloutProgressEntry.h"
 #include "jy_gateway/rollouts/RolloutTraffic.h"
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -20,6 +20,9 @@
     /** Tries backend servers until a response is delivered or no further attempt is allowed. */
     RelayOutcome run();
 
+    /** When the request ends without a response, by its caller's and its route's timeout. */
+    TimePoint deadline() const { return deadline_; }
+
 private:
     /** Result of one attempt. */
     enum class Step {
--- a/modules/jy_gateway/relay/RequestRelay.cpp
+++ b/modules/jy_gateway/relay/RequestRelay.cpp
@@ -9,6 +9,9 @@
 
 using Clock = std::chrono::steady_clock;
 
+// Retry-After of requests that come too late in a shutdown; other instances can serve them at once.
+constexpr std::chrono::milliseconds shutdownRetryAfter{100};
+
 } // namespace
 
 RequestRelay::RequestRelay(RelayDependencies dependencies, RelaySettings settings,
@@ -52,6 +55,9 @@
     }
     RelayExchange exchange(*this, request, responder, config, *route, metadata, workspace, priority,
                            start);
+    if (dependencies_.admits && !dependencies_.admits(Clock::now(), exchange.deadline()))
+        return reject(
+            {ErrorKind::ShuttingDown, "the instance is shutting down", shutdownRetryAfter});
     const auto outcome = exchange.run();
     finish(request, metadata, route, outcome, Clock::now() - start);
 }
--- a/modules/jy_gateway/relay/RequestRelay.h
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -105,6 +105,9 @@
     /** Retries per second that this instance may make regardless of the request rate. */
     std::function<double()> minimumRetryRate;
 
+    /** Whether a request may still be passed on; may be empty. @see ShutdownAdmission */
+    std::function<bool(TimePoint now, TimePoint deadline)> admits;
+
     /** Called when a backend server is known to have begun to run an attempt; may be empty. */
     std::function<void(const WorkspaceId &workspace, TimePoint began)> attemptBegan;
 };
--- a/modules/jy_http/server/HttpConnection.cpp
+++ b/modules/jy_http/server/HttpConnection.cpp
@@ -31,6 +31,9 @@
 // Requests usually release the memory of their bodies within about this time.
 constexpr std::chrono::milliseconds bodyRetryAfter{1000};
 
+// Retry-After of requests that were not complete when the process had to end.
+constexpr std::chrono::milliseconds stoppingRetryAfter{1000};
+
 // Unread bytes of a pipelined request keep the socket readable, so a wait for readability cannot
 // detect a disconnect; it is then polled for at this interval.
 constexpr std::chrono::milliseconds pipelinedCheckInterval{100};
@@ -127,7 +130,11 @@
     }
 
     bool started() const override { return started_; }
-    bool complete() const { return complete_ && !callerGone(); }
+    bool complete() const { return complete_ && !broken_; }
+
+    /** Whether bytes of the response may have reached the caller. */
+    bool wrote() const { return wrote_; }
+
     bool callerGone() const override { return cancellation_->cancelled(); }
     const std::shared_ptr<Cancellation> &cancellation() const override { return cancellation_; }
 
@@ -137,22 +144,27 @@
     template <class Buffers>
     bool put(const Buffers &buffers)
     {
-        if (callerGone())
+        broken_ = broken_ || callerGone();
+        if (broken_)
             return false;
+        wrote_ = true;
         const SocketDeadline deadline(connection_.socket_,
                                       Clock::now() + connection_.settings_.writeTimeout,
                                       SocketDeadline::Effect::Close);
         error_code error;
         asio::async_write(connection_.socket_, buffers, FiberToken{error});
-        if (error)
+        broken_ = error.failed();
+        if (broken_)
             cancellation_->cancel();
-        return !error;
+        return !broken_;
     }
 
     HttpConnection &connection_;
     bool head_;
     std::shared_ptr<Cancellation> cancellation_;
     bool started_ = false;
+    bool wrote_ = false;
+    bool broken_ = false;
     bool complete_ = false;
 };
 
@@ -192,6 +204,17 @@
         socket_.close(ignored);
 }
 
+void HttpConnection::interrupt()
+{
+    closing_ = true;
+    interrupted_ = true;
+    if (exchange_)
+        exchange_->cancel();
+    error_code ignored;
+    if (!handling_)
+        socket_.shutdown(tcp::socket::shutdown_receive, ignored);
+}
+
 void HttpConnection::close()
 {
     closing_ = true;
@@ -229,6 +252,11 @@
         }
         error = readBody(parser);
     }
+    if (interrupted_) {
+        if (error != http::error::end_of_stream)
+            reject({ErrorKind::ShuttingDown, "the instance is shutting down", stoppingRetryAfter});
+        return std::nullopt;
+    }
     if (deadline.expired()) {
         reject({ErrorKind::RequestTimeout, "the request was not complete in time"});
         return std::nullopt;
@@ -275,6 +303,7 @@
 {
     Responder responder(*this, request.method == "HEAD");
     handling_ = true;
+    exchange_ = responder.cancellation();
     watchCaller(responder.cancellation());
     try {
         handler_(request, responder);
@@ -283,10 +312,15 @@
             responder.send(errorResponse({ErrorKind::Internal, problem.what()}));
     }
     handling_ = false;
-    if (!responder.started())
-        responder.send(errorResponse({ErrorKind::Internal, "the request was not answered"}));
+    exchange_.reset();
     error_code ignored;
     socket_.cancel(ignored);
+    if (interrupted_ && !responder.wrote()) {
+        reject({ErrorKind::DeadlineExceeded, "the instance ended before the request did"});
+        return;
+    }
+    if (!responder.started())
+        responder.send(errorResponse({ErrorKind::Internal, "the request was not answered"}));
     if (!responder.complete())
         socket_.close(ignored);
 }
--- a/modules/jy_http/server/HttpConnection.h
+++ b/modules/jy_http/server/HttpConnection.h
@@ -29,6 +29,12 @@
     /** Sends Connection: close with the next response. */
     void announceClose() { closing_ = true; }
 
+    /**
+     * Ends the current exchange: a running request without a response gets 504, a begun stream
+     * breaks off, and a request that is still arriving gets 503.
+     */
+    void interrupt();
+
     /** Closes the connection at once. */
     void close();
 
@@ -69,6 +75,10 @@
     bool awaitsFirstRequest_ = true;
     bool handling_ = false;
     bool closing_ = false;
+    bool interrupted_ = false;
+
+    /** Set while a handler runs. */
+    std::shared_ptr<Cancellation> exchange_;
     bool keepAlive_ = true;
 };
 
--- a/modules/jy_http/server/HttpServer.cpp
+++ b/modules/jy_http/server/HttpServer.cpp
@@ -48,6 +48,7 @@
     void updateLimits(const HttpServerSettings &settings);
     void announceClose();
     std::size_t drain(std::chrono::milliseconds timeout);
+    void interrupt(std::chrono::milliseconds timeout);
     void stop();
     Endpoint local() const { return local_; }
 
@@ -221,6 +222,16 @@
     return active();
 }
 
+void HttpServer::Impl::interrupt(std::chrono::milliseconds timeout)
+{
+    closing_ = true;
+    closeAcceptor();
+    for (const auto &connection : std::set(connections_))
+        connection->interrupt();
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, timeout, [this] { return connections_.empty() && !accepting_; });
+}
+
 void HttpServer::Impl::stop()
 {
     closing_ = true;
@@ -278,6 +289,11 @@
     return impl_->drain(timeout);
 }
 
+void HttpServer::interrupt(std::chrono::milliseconds timeout)
+{
+    impl_->interrupt(timeout);
+}
+
 void HttpServer::stop()
 {
     impl_->stop();
--- a/modules/jy_http/server/HttpServer.h
+++ b/modules/jy_http/server/HttpServer.h
@@ -81,6 +81,13 @@
      */
     std::size_t drain(std::chrono::milliseconds timeout);
 
+    /**
+     * Ends what drain() has left: a running request gets 504 and its handler sees that the caller
+     * is gone, a begun stream breaks off, and a request that is still arriving gets 503. Waits at
+     * most @p timeout for the responses.
+     */
+    void interrupt(std::chrono::milliseconds timeout);
+
     /** Closes every connection and waits for their handlers to return. */
     void stop();
 
--- a/tests/jy_gateway/RelayFixture.h
+++ b/tests/jy_gateway/RelayFixture.h
@@ -82,7 +82,8 @@
                   .bodyBudget = budget,
                   .awaitConfig = [this](milliseconds longest) { awaitConfig(longest); },
                   .readyAfter = [] { return milliseconds(700); },
-                  .minimumRetryRate = [this] { return retryRate; }},
+                  .minimumRetryRate = [this] { return retryRate; },
+                  .admits = [this](auto, auto deadline) { return deadline <= latestEnd; }},
                  {.resumeSilence = milliseconds(200)}, 1)
     {
         server_ = HttpServer::create(loop, {}, [this](const auto &request, auto &responder) {
@@ -171,6 +172,9 @@
     /** Called while a request waits for the first configuration. */
     std::function<void(milliseconds longest)> awaitConfig = [](milliseconds) {};
     double retryRate = 10;
+
+    /** Requests that may last longer are not passed on. */
+    TimePoint latestEnd = TimePoint::max();
     StallDetector stalls{[](const ServerId &) { return false; }};
     std::shared_ptr<ByteBudget> budget = std::make_shared<ByteBudget>(256 * 1024);
 
--- a/tests/jy_gateway/RequestRelayTest.cpp
+++ b/tests/jy_gateway/RequestRelayTest.cpp
@@ -157,6 +157,22 @@
 }
 
 // The response that announces the leaving is delivered; later requests go to other servers.
+// Guards against a request that is passed on although the process ends before it must be answered.
+TEST(RequestRelayTest, RequestThatCannotBeAnsweredInAShutdownIsNotPassedOn)
+{
+    withRelay([](RelayFixture &relay) {
+        int calls = 0;
+        relay.configure({.kind = RequestKind::Unsafe, .timeout = seconds(3)});
+        relay.addBackend(respondWith(200, sealed, calls));
+        relay.latestEnd = std::chrono::steady_clock::now() + seconds(2);
+        const auto refused = relay.call();
+        EXPECT_EQ(refused.value().status, 503);
+        EXPECT_NE(refused.value().headers.value("Retry-After"), "");
+        EXPECT_EQ(calls, 0);
+        EXPECT_EQ(relay.call({{"Id", "r1"}, {"Patience", "1000"}}).value().status, 200);
+    });
+}
+
 TEST(RequestRelayTest, LeavingServerGetsNoFurtherRequests)
 {
     withRelay([](RelayFixture &relay) {
--- a/tests/jy_http/HttpServerTest.cpp
+++ b/tests/jy_http/HttpServerTest.cpp
@@ -353,6 +353,60 @@
                              ""}),
     [](const auto &info) { return info.param.name; });
 
+struct InterruptCase
+{
+    std::string name;
+
+    /** Written before the stop; the rest of the request never arrives in time. */
+    std::string request;
+
+    /** The handler begins a stream before it waits. */
+    bool streams;
+    std::string expected;
+    std::string ending;
+};
+
+class InterruptedRequest : public testing::TestWithParam<InterruptCase>
+{ };
+
+// Guards against requests that the end of a graceful stop cuts off without a final response, and
+// against interrupted streams that look complete.
+TEST_P(InterruptedRequest, GetsAFinalResponse)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        bool cancelled = false;
+        auto server = jy::HttpServer::create(loop, {}, [&](const auto &, auto &responder) {
+                          if (GetParam().streams) {
+                              responder.startStream(200, {});
+                              responder.write("part");
+                          }
+                          cancelled = eventually([&] { return responder.callerGone(); });
+                          responder.endStream();
+                      }).value();
+        RawConnection connection(loop, server->localEndpoint());
+        connection.write(GetParam().request);
+        jy::EventLoop::sleepFor(10ms);
+        const bool running = server->activeRequests() == 1;
+        EXPECT_EQ(server->drain(20ms), running ? 1U : 0U);
+        server->interrupt(250ms);
+        const auto response = connection.readAll();
+        EXPECT_EQ(response.substr(0, 12), GetParam().expected) << response;
+        EXPECT_TRUE(response.ends_with(GetParam().ending)) << response;
+        EXPECT_EQ(cancelled, running);
+    });
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests, InterruptedRequest,
+    testing::Values(InterruptCase{"Running", "GET / HTTP/1.1\r\n\r\n", false, "HTTP/1.1 504", "}"},
+                    InterruptCase{"BegunStream", "GET / HTTP/1.1\r\n\r\n", true, "HTTP/1.1 200",
+                                  "part\r\n"},
+                    InterruptCase{"HalfHead", "GET / HTTP/1.1\r\nA: b", false, "HTTP/1.1 503", "}"},
+                    InterruptCase{"HalfBody", "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab",
+                                  false, "HTTP/1.1 503", "}"}),
+    [](const auto &info) { return info.param.name; });
+
 // Guards against a graceful stop that waits for callers that connect and send nothing.
 TEST(HttpServer, DrainClosesConnectionsWithoutARequest)
 {
--- a/tests/platform/GatewayProcessTest.cpp
+++ b/tests/platform/GatewayProcessTest.cpp
@@ -3,6 +3,7 @@
 #include "StandinStore.h"
 
 #include "common/ChildProcess.h"
+#include "jy_http/HttpTestServer.h"
 
 #include <gtest/gtest.h>
 
@@ -326,6 +327,47 @@
     });
 }
 
+// Guards against requests that the end of a process cuts off without a response: one whose body is
+// complete late is refused, and one that still runs at the end gets a final response.
+TEST(GatewayProcessTest, ShutdownAnswersEveryRequest)
+{
+    EventLoop loop;
+    loop.run([&] {
+        GatewayFleet fleet(loop);
+        int runs = 0;
+        int ended = 0;
+        fleet.addBackend([&](const HttpRequest &, HttpResponder &out) {
+            ++runs;
+            ended += within(seconds(8), [&] { return out.callerGone(); }) ? 1 : 0;
+        });
+        fleet.configure(1);
+        fleet.moreSettings = R"(,"bounds":{"graceSeconds":5})";
+        auto &instance = fleet.startOne();
+        ASSERT_TRUE(within(startBound, [&] { return fleet.allReady(); }));
+        const auto request = [](const std::string &id) {
+            return "POST /a/x HTTP/1.1\r\nHost: h\r\nJacinthyoke-Attempt-Id: " + id
+                + "\r\nContent-Length: 4\r\n\r\n12";
+        };
+        jy::test::RawConnection late(loop, instance.addresses.caller);
+        jy::test::RawConnection running(loop, instance.addresses.caller);
+        late.write(request("a"));
+        running.write(request("b"));
+        EventLoop::sleepFor(milliseconds(100));
+        instance.process->terminate();
+        EventLoop::sleepFor(milliseconds(2000));
+        running.write("34");
+        EventLoop::sleepFor(milliseconds(1000));
+        late.write("34");
+        const auto refusal = late.readAll();
+        EXPECT_EQ(refusal.substr(0, 12), "HTTP/1.1 503") << refusal;
+        EXPECT_NE(refusal.find("Retry-After: "), std::string::npos);
+        EXPECT_EQ(running.readAll().substr(0, 12), "HTTP/1.1 504");
+        EXPECT_EQ(instance.process->waitForExit(seconds(2)), 0);
+        EXPECT_TRUE(within(seconds(1), [&] { return ended == 1; }));
+        EXPECT_EQ(runs, 1);
+    });
+}
+
 // Apart from lease renewals, the number of store calls must not grow with the fleet.
 TEST(GatewayProcessTest, FewInstancesReadTheStore)
 {
