--- a/tests/platform/GatewayProcessTest.cpp
+++ b/tests/platform/GatewayProcessTest.cpp
@@ -3,6 +3,7 @@
 #include "StandinStore.h"
 
 #include "common/ChildProcess.h"
+#include "jy_http/HttpTestServer.h"
 
 #include <gtest/gtest.h>
 
@@ -253,6 +254,55 @@
     });
 }
 
+// Guards against one odd entry of another writer that ends the instances, or their following of the
+// store.
+TEST(GatewayProcessTest, OddEntriesDoNotHideLaterChanges)
+{
+    withFleet([](GatewayFleet &fleet) {
+        int runs = 0;
+        fleet.addBackend(runs);
+        fleet.configure(1);
+        fleet.start(4);
+        ASSERT_TRUE(within(startBound, [&] { return fleet.allReady(); }));
+        const std::string deep = std::string(10'000, '[') + std::string(10'000, ']');
+        int version = 1;
+        const auto follow = [&](const std::string &step) {
+            const auto prefix = "/v" + std::to_string(++version) + '/';
+            fleet.configure(version, prefix);
+            EXPECT_TRUE(within(configBound + seconds(1), [&] {
+                return std::ranges::all_of(fleet.instances, [&](const auto &instance) {
+                    return fleet.call(instance, prefix + 'x') == 200;
+                });
+            })) << step;
+        };
+        const auto entry = [](const std::string &more) {
+            return R"({"service":"s","address":"127.0.0.1:9","state":"ready")" + more + '}';
+        };
+        fleet.store.put("servers/deep", deep);
+        fleet.store.put("servers/deep-field", entry(R"(,"more":)" + deep));
+        follow("deeply nested");
+        for (const auto *number : {"1e999", "1e300", "-1", "9223372036854775808", "1.5"})
+            fleet.store.put("servers/n" + std::string(number),
+                            entry(R"(,"slots":)" + std::string(number) + R"(,"cold_left_ms":)"
+                                  + number + R"(,"born":)" + number));
+        follow("numbers out of range");
+        for (const auto *port : {"0", "65536", "99999999999", "-1"})
+            fleet.store.put("servers/p" + std::string(port),
+                            R"({"service":"s","address":"127.0.0.1:)" + std::string(port)
+                                + R"(","state":"ready"})");
+        fleet.store.put("instances/odd",
+                        R"({"caller":"127.0.0.1:0","peer":"127.0.0.1:0",)"
+                        R"("control":"127.0.0.1:0","link_mbps":1e300})");
+        follow("ports out of range");
+        fleet.store.put("servers/\xff\xfe", entry(""));
+        follow("key with odd bytes");
+        fleet.store.forgetHistory();
+        follow("complete list with odd entries");
+        EXPECT_TRUE(std::ranges::all_of(
+            fleet.instances, [](const auto &instance) { return instance.process->running(); }));
+    });
+}
+
 TEST(GatewayProcessTest, GracefulShutdownFinishesRunningRequests)
 {
     withFleet([](GatewayFleet &fleet) {
@@ -277,6 +327,47 @@
     });
 }
 
+// Guards against requests that the end of a process cuts off without a response: one whose body is
+// complete late is refused, and one that still runs at the end gets a final response.
+TEST(GatewayProcessTest, ShutdownAnswersEveryRequest)
+{
+    EventLoop loop;
+    loop.run([&] {
+        GatewayFleet fleet(loop);
+        int runs = 0;
+        int ended = 0;
+        fleet.addBackend([&](const HttpRequest &, HttpResponder &out) {
+            ++runs;
+            ended += within(seconds(8), [&] { return out.callerGone(); }) ? 1 : 0;
+        });
+        fleet.configure(1);
+        fleet.moreSettings = R"(,"bounds":{"graceSeconds":5})";
+        auto &instance = fleet.startOne();
+        ASSERT_TRUE(within(startBound, [&] { return fleet.allReady(); }));
+        const auto request = [](const std::string &id) {
+            return "POST /a/x HTTP/1.1\r\nHost: h\r\nJacinthyoke-Attempt-Id: " + id
+                + "\r\nContent-Length: 4\r\n\r\n12";
+        };
+        jy::test::RawConnection late(loop, instance.addresses.caller);
+        jy::test::RawConnection running(loop, instance.addresses.caller);
+        late.write(request("a"));
+        running.write(request("b"));
+        EventLoop::sleepFor(milliseconds(100));
+        instance.process->terminate();
+        EventLoop::sleepFor(milliseconds(2000));
+        running.write("34");
+        EventLoop::sleepFor(milliseconds(1000));
+        late.write("34");
+        const auto refusal = late.readAll();
+        EXPECT_EQ(refusal.substr(0, 12), "HTTP/1.1 503") << refusal;
+        EXPECT_NE(refusal.find("Retry-After: "), std::string::npos);
+        EXPECT_EQ(running.readAll().substr(0, 12), "HTTP/1.1 504");
+        EXPECT_EQ(instance.process->waitForExit(seconds(2)), 0);
+        EXPECT_TRUE(within(seconds(1), [&] { return ended == 1; }));
+        EXPECT_EQ(runs, 1);
+    });
+}
+
 // Apart from lease renewals, the number of store calls must not grow with the fleet.
 TEST(GatewayProcessTest, FewInstancesReadTheStore)
 {
