Restore the store in the soak

The new fault kind restore-store takes the stand-in back to a copy up to nine seconds old, with revisions and leases, and lets the operator and the servers write theirs again.

--- a/tests/platform/StandinStore.cpp
+++ b/tests/platform/StandinStore.cpp
@@ -50,11 +50,13 @@
 
 void StandinStore::put(const std::string &key, const std::string &value)
 {
+    written_[key] = value;
     write(key, {value, 0, 0}, false);
 }
 
 void StandinStore::remove(const std::string &key)
 {
+    written_.erase(key);
     write(key, {}, true);
 }
 
@@ -87,6 +89,23 @@
     changed_.notify_all();
 }
 
+void StandinStore::writeAgain()
+{
+    std::vector<std::string> obsolete;
+    for (const auto &[key, item] : state_.items) {
+        const bool theirs = key.starts_with("op/") || key.starts_with(wire::serverKeys);
+        if (theirs && !written_.contains(key))
+            obsolete.push_back(key);
+    }
+    for (const auto &key : obsolete)
+        write(key, {}, true);
+    for (const auto &[key, value] : written_) {
+        const auto found = state_.items.find(key);
+        if (found == state_.items.end() || found->second.value != value)
+            write(key, {value, 0, 0}, false);
+    }
+}
+
 std::size_t StandinStore::count(const std::string &prefix) const
 {
     std::size_t found = 0;
--- a/tests/platform/StandinStore.h
+++ b/tests/platform/StandinStore.h
@@ -47,6 +47,9 @@
      */
     void restore();
 
+    /** Writes again what the operator and the backend servers wrote and a restore took back. */
+    void writeAgain();
+
     /** Number of keys that begin with @p prefix. */
     std::size_t count(const std::string &prefix) const;
 
@@ -99,6 +102,9 @@
 
     State state_;
     State copy_;
+
+    /** Latest values that the operator and the backend servers wrote, by key. */
+    std::map<std::string, std::string> written_;
     std::uint64_t era_ = 1;
     std::uint64_t calls_ = 0;
     bool down_ = false;
--- a/tests/soak/Faults.cpp
+++ b/tests/soak/Faults.cpp
@@ -255,6 +255,20 @@
     EventLoop::sleepFor(milliseconds(200));
 }
 
+void restoreStore(FaultDraw &draw)
+{
+    auto &fleet = draw.fleet();
+    fleet.store.saveCopy();
+    EventLoop::sleepFor(draw.time(500, 9000));
+    const DisturbanceScope disturbed(fleet, "store");
+    fleet.store.setDown(true);
+    EventLoop::sleepFor(draw.time(0, 2000));
+    fleet.store.restore();
+    fleet.store.setDown(false);
+    EventLoop::sleepFor(draw.time(100, maxReregistrationDelayMs));
+    fleet.store.writeAgain();
+}
+
 void slowStore(FaultDraw &draw)
 {
     auto &fleet = draw.fleet();
@@ -414,6 +428,7 @@
     FaultKind{"upset-server", misbehaveServer},
     FaultKind{"change-config", changeConfig},
     FaultKind{"evacuate", evacuate},
+    FaultKind{"restore-store", restoreStore},
 };
 
 } // namespace
