--- a/tests/jy_gateway/DutyLeaseTest.cpp
+++ b/tests/jy_gateway/DutyLeaseTest.cpp
@@ -271,6 +271,23 @@
     EXPECT_FALSE(holder.credentialForCall());
 }
 
+// Guards against a token that falls when a build from before, whose token is the revision, takes
+// over: without restores the token is the revision.
+TEST(DutyLeaseTest, TokenIsTheRevisionWithoutARestore)
+{
+    DutyStore store;
+    const StoreFault fault = StoreFault::None;
+    const auto shared = store.open(fault);
+    for (std::uint64_t incarnation = 1; incarnation < 4; ++incarnation) {
+        DutyLease holder(
+            shared, {InstanceId("a"), incarnation}, settings, [&] { return store.now; },
+            [&] { return store.era; });
+        ASSERT_TRUE(holder.acquire());
+        EXPECT_EQ(holder.token(), store.items.at(std::string(dutyHolderKey)).revision);
+        ASSERT_TRUE(holder.release());
+    }
+}
+
 // Guards against duties that nobody performs: without faults the first instance acts from the end
 // of the takeover delay on, and after it has stopped the second one does.
 TEST(DutyLeaseTest, DutiesAreTakenOver)
