Take a stream without a length for broken if it ends before its first event

Callers of a similar system got a 200 with an empty or short body, framed as whole, when a server closed in the middle of its response's head.

One case did happen: an event stream with neither a length nor chunks whose server closes after the head. Its end was taken for the end of the stream, and the caller got 200 with no event and a final chunk. Such a stream has not begun, so it now counts as broken: 502, or another server where the route allows it.

What remains: a plain response or a later part of a stream without a length that is closed, not reset, cannot be told from a complete one.

--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -435,6 +435,10 @@
         events_.dropRemainder();
         return fail({ErrorKind::BackendBroken, "the stream ended within an event"}, server);
     }
+    if (!gotEvent && !responder_.started() && stream.endsWithConnection()) {
+        noteBroken(server, BreakPoint::AfterHead);
+        return fail({ErrorKind::BackendBroken, "the stream ended before its first event"}, server);
+    }
     recordCompleted(server);
     if (startResponse(stream))
         responder_.endStream();
--- a/modules/jy_http/client/ClientExchange.cpp
+++ b/modules/jy_http/client/ClientExchange.cpp
@@ -239,6 +239,11 @@
     return impl_->headers();
 }
 
+bool HttpStream::endsWithConnection() const
+{
+    return impl_->endsWithConnection();
+}
+
 Result<std::string> HttpStream::readSome(std::chrono::milliseconds timeout)
 {
     return impl_->readSome(Clock::now() + timeout);
--- a/modules/jy_http/client/ClientExchange.h
+++ b/modules/jy_http/client/ClientExchange.h
@@ -32,6 +32,7 @@
 
     int status() const { return status_; }
     const HttpHeaders &headers() const { return headers_; }
+    bool endsWithConnection() const { return parser_->need_eof(); }
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
--- a/modules/jy_http/client/HttpStream.h
+++ b/modules/jy_http/client/HttpStream.h
@@ -26,6 +26,10 @@
     int status() const;
     const HttpHeaders &headers() const;
 
+    /** Whether the body has neither a length nor chunks, so that the connection's end is its end.
+     */
+    bool endsWithConnection() const;
+
     /**
      * Suspends until a part of the body arrives.
      *
--- a/tests/jy_gateway/RelayStreamTest.cpp
+++ b/tests/jy_gateway/RelayStreamTest.cpp
@@ -156,6 +156,50 @@
     });
 }
 
+struct CutStreamCase
+{
+    const char *name;
+
+    /** Fields after the seal, and what follows the head. */
+    std::string framing;
+    std::string body;
+};
+
+struct CutStreamTest : testing::TestWithParam<CutStreamCase>
+{ };
+
+// Guards against a stream that its server breaks off and that callers receive as complete.
+TEST_P(CutStreamTest, DoesNotLookComplete)
+{
+    EventLoop loop;
+    loop.run([&] {
+        const RawServer backend(loop, [](tcp::socket &socket, int) {
+            RawServer::readHead(socket);
+            RawServer::write(socket,
+                             "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nContent-Type: "
+                             "text/event-stream\r\n"
+                                 + GetParam().framing + "\r\n" + GetParam().body);
+        });
+        RelayFixture relay(loop);
+        relay.configure({.kind = RequestKind::Stream, .maxAttempts = 1});
+        relay.registerBackend(backend.endpoint());
+        const auto response = relay.call();
+        EXPECT_TRUE(!response || response.value().status == 502) << response.value().status;
+    });
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Streams, CutStreamTest,
+    testing::Values(CutStreamCase{"BeforeTheFirstEvent", "", ""},
+                    CutStreamCase{"WithinTheFirstEvent", "", "id: 1\nda"},
+                    CutStreamCase{"WithinAnEvent", "", "id: 1\n\nid: 2\nda"},
+                    CutStreamCase{"WithinTheLength", "Content-Length: 80\r\n", "id: 1\n\n"},
+                    CutStreamCase{"WithoutTheLastChunk", "Transfer-Encoding: chunked\r\n",
+                                  "7\r\nid: 1\n\n\r\n"},
+                    CutStreamCase{"WithinAChunkSize", "Transfer-Encoding: chunked\r\n",
+                                  "7\r\nid: 1\n\n\r\n1"}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 struct SecondResponseCase
 {
     const char *name;
--- a/tests/jy_http/HttpClientTest.cpp
+++ b/tests/jy_http/HttpClientTest.cpp
@@ -53,6 +53,79 @@
                        K::DeadlineExceeded}),
     [](const auto &info) { return info.param.name; });
 
+const std::string completeResponse =
+    "HTTP/1.1 200 OK\r\nSeal: s\r\nContent-Length: 80\r\n\r\n" + std::string(80, 'x');
+const std::string chunkedResponse = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n"
+    + std::string(16, 'x') + "\r\n0\r\n\r\n";
+
+class CutResponse : public testing::TestWithParam<std::tuple<std::string, bool>>
+{ };
+
+// Guards against a response that is cut at any byte, by a close or by a reset, and delivered as
+// complete.
+TEST_P(CutResponse, IsNeverComplete)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        const auto &[text, reset] = GetParam();
+        std::size_t length = 0;
+        const RawServer backend(loop, [&](tcp::socket &socket, int) {
+            RawServer::readHead(socket);
+            RawServer::write(socket, std::string_view(text).substr(0, length));
+            // Lets the client read what was sent before the reset.
+            jy::EventLoop::sleepFor(1ms);
+            if (reset)
+                socket.set_option(boost::asio::socket_base::linger(true, 0));
+            // The destructor alone would take the option back.
+            socket.close();
+        });
+        auto client = jy::HttpClient::create(loop, clientSettings());
+        for (; length < text.size(); ++length) {
+            const auto result = client->request(backend.endpoint(), {}, 2s);
+            ASSERT_FALSE(result) << "cut after " << text.substr(0, length);
+            EXPECT_EQ(result.error().kind, K::BackendBroken) << result.error().message;
+        }
+        EXPECT_TRUE(client->request(backend.endpoint(), {}, 2s));
+    });
+}
+
+INSTANTIATE_TEST_SUITE_P(Framings, CutResponse,
+                         testing::Combine(testing::Values(completeResponse, chunkedResponse),
+                                          testing::Bool()));
+
+// Guards against a response without a length that is cut within its head or reset within its body,
+// and delivered as complete.
+TEST(HttpClient, ResponseWithoutALengthEndsOnlyWithAClose)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        const std::string text = "HTTP/1.1 200 OK\r\nSeal: s\r\n\r\nbody";
+        const auto headSize = text.size() - 4;
+        std::size_t length = 0;
+        bool reset = false;
+        const RawServer backend(loop, [&](tcp::socket &socket, int) {
+            RawServer::readHead(socket);
+            RawServer::write(socket, std::string_view(text).substr(0, length));
+            jy::EventLoop::sleepFor(1ms);
+            if (reset)
+                socket.set_option(boost::asio::socket_base::linger(true, 0));
+            // The destructor alone would take the option back.
+            socket.close();
+        });
+        auto client = jy::HttpClient::create(loop, clientSettings());
+        for (; length < headSize; ++length)
+            EXPECT_FALSE(client->request(backend.endpoint(), {}, 2s)) << length;
+        reset = true;
+        for (; length <= text.size(); ++length)
+            EXPECT_FALSE(client->request(backend.endpoint(), {}, 2s)) << length;
+        reset = false;
+        length = text.size();
+        const auto whole = client->request(backend.endpoint(), {}, 2s);
+        ASSERT_TRUE(whole);
+        EXPECT_EQ(whole.value().body, "body");
+    });
+}
+
 struct EndlessInput
 {
     std::string name;
