--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -109,6 +109,8 @@
     , sync_(readStore_, mirror_, {},
             {.lost = [this](const Error &error) { storeLost(error); },
              .returned = [this] { storeReturned(); },
+             // The list may come later than the first response of the new era.
+             .restored = [this] { fleet_.storeRestored(Clock::now()); },
              .merged = [this] { stateChanged(); },
              .readsStore = [this] { return storeReader_.readsDirectly(); },
              .latestEra = [this] { return era_.current(); }})
--- a/modules/jy_gateway/duties/DutyLease.cpp
+++ b/modules/jy_gateway/duties/DutyLease.cpp
@@ -92,7 +92,15 @@
                                          StoreEra era) const
 {
     const auto restores = era > fence.era ? era - fence.era : 0;
-    return std::max({fence.tokenFloor, fenceRevision, token_}) + 1 + restores * tokensPerEra;
+    return std::max({fence.tokenFloor, fenceRevision, token_, highestToken_}) + 1
+        + restores * tokensPerEra;
+}
+
+void DutyLease::noteEra()
+{
+    // 0 until the first response of the store.
+    if (!firstEra_ && storeEra_() != 0)
+        firstEra_ = storeEra_();
 }
 
 Result<void> DutyLease::acquire()
--- a/modules/jy_gateway/duties/DutyLease.h
+++ b/modules/jy_gateway/duties/DutyLease.h
@@ -127,6 +127,14 @@
     /** Gives the right up because another holder was seen in the store. */
     void lose();
 
+    /** Notes the era of the store; called regularly, so that the first one is known even if this
+     * process tries to acquire the duties only after a restore. */
+    void noteEra();
+
+    /** Notes the token of a holder that the store shows; later tokens of this process are above it.
+     */
+    void noteHolder(std::uint64_t token) { highestToken_ = std::max(highestToken_, token); }
+
     /** Whether this instance has acquired the duties and not lost them since. The lease may have
      * expired meanwhile, which only a renewal shows. */
     bool acquired() const { return acquired_; }
@@ -188,8 +196,11 @@
     StoreEra era_ = 0;
     std::optional<TimePoint> soleUntil_;
 
-    /** Earliest era in which this process tried to acquire the duties. */
+    /** Earliest era that this process has seen. */
     std::optional<StoreEra> firstEra_;
+
+    /** Highest token of a holder that the store has shown. */
+    std::uint64_t highestToken_ = 0;
     std::optional<Unresolved> unresolved_;
 };
 
--- a/modules/jy_gateway/duties/DutyRunner.cpp
+++ b/modules/jy_gateway/duties/DutyRunner.cpp
@@ -104,8 +104,9 @@
         vacantSince_ = std::max(vacantSince_, now);
     holder_ = holder;
     // Tokens can be compared across restores of the store, unlike revisions.
-    const bool later = holder ? std::max(item.revision, holder->tokenFloor) > lease_.token()
-                              : item.revision > lease_.revision();
+    const auto token = holder ? std::max(item.revision, holder->tokenFloor) : 0;
+    const bool later = holder ? token > lease_.token() : item.revision > lease_.revision();
+    lease_.noteHolder(token);
     if (lease_.acquired() && !(holder && isSelf(*holder)) && later) {
         logEvent(LogLevel::Warn, "duty-lost",
                  {{"reason", "the store shows another holder"}, {"token", lease_.token()}});
@@ -259,6 +260,7 @@
 void DutyRunner::observeEra()
 {
     const auto era = dependencies_.storeEra();
+    lease_.noteEra();
     if (era_ == era)
         return;
     // 0 until the first response of the store.
--- a/modules/jy_gateway/registry/FleetView.cpp
+++ b/modules/jy_gateway/registry/FleetView.cpp
@@ -54,23 +54,34 @@
     return removed;
 }
 
+void FleetView::storeReturned(TimePoint now)
+{
+    entriesUncertainUntil_ = now + reregistrationTime;
+    // Entries that were missing after an earlier outage may still return after this one.
+    for (auto &[id, state] : servers_) {
+        if (state.removalDue)
+            state.removalDue = entriesUncertainUntil_;
+    }
+}
+
 void FleetView::storeRestored(TimePoint now)
 {
     storeReturned(now);
     restoringUntil_ = now + reregistrationTime;
     unconfirmedUntil_ = now + confirmingHeartbeats * settings_.serverHeartbeat;
-    for (const auto &[server, startTimeMs] : departed_)
-        leftBeforeRestore_[server] = startTimeMs;
-    for (const auto &[id, state] : servers_) {
+    leftBeforeRestore_.insert(departed_.begin(), departed_.end());
+    for (auto &[id, state] : servers_) {
         if (state.leaving)
-            leftBeforeRestore_[id] = state.entry.startTimeMs;
+            leftBeforeRestore_.emplace(id, state.entry.startTimeMs);
+        // The store has to confirm the entry anew after each restore.
+        if (now < state.unconfirmedUntil)
+            state.unconfirmedUntil = unconfirmedUntil_;
     }
 }
 
 bool FleetView::wasLeaving(const RegisteredServer &server) const
 {
-    const auto found = leftBeforeRestore_.find(server.id);
-    return found != leftBeforeRestore_.end() && found->second == server.startTimeMs;
+    return leftBeforeRestore_.contains({server.id, server.startTimeMs});
 }
 
 void FleetView::noteDeparted(const RegisteredServer &server)
@@ -193,14 +204,21 @@
     auto &state = servers_[registered.id];
     const bool known = !state.entry.id.empty();
     const bool restarted = known && state.entry.startTimeMs != registered.startTimeMs;
+    const bool restoring = now < unconfirmedUntil_;
+    // A restored store may show the start before the known one.
+    if (restarted && restoring && registered.startTimeMs < state.entry.startTimeMs)
+        return;
+    if (!known && !restoring)
+        std::erase(departed_, ServerStart(registered.id, registered.startTimeMs));
     if (restarted) {
+        noteDeparted(state.entry);
         state = ServerState{};
         announced_.erase(registered.id);
     }
     if (!known || restarted)
         state.since = now;
     state.entry = registered;
-    if (now < unconfirmedUntil_ && wasLeaving(registered))
+    if (restoring && wasLeaving(registered))
         state.unconfirmedUntil = unconfirmedUntil_;
     state.leaving = registered.leaving || announced_.contains(registered.id);
     state.removalDue.reset();
--- a/modules/jy_gateway/registry/FleetView.h
+++ b/modules/jy_gateway/registry/FleetView.h
@@ -98,7 +98,7 @@
 
     /** Called at the end of an outage of the store. Servers whose entries are missing are kept for
      * reregistrationTime. */
-    void storeReturned(TimePoint now) { entriesUncertainUntil_ = now + reregistrationTime; }
+    void storeReturned(TimePoint now);
 
     /**
      * Called before the first changes from a store that was restored from an older copy.
@@ -209,11 +209,14 @@
     std::map<ServiceId, std::uint64_t> progressRevisions_;
     TimePoint entriesUncertainUntil_;
 
-    /** Start times of servers whose entries were removed, in the order of their removal. */
-    std::deque<std::pair<ServerId, std::int64_t>> departed_;
+    /** A start of a server, by its start time. */
+    using ServerStart = std::pair<ServerId, std::int64_t>;
 
-    /** Servers that were leaving or gone when the store was restored. */
-    StartTimeByServer leftBeforeRestore_;
+    /** Starts that have ended, in the order in which that was noticed. */
+    std::deque<ServerStart> departed_;
+
+    /** Starts that were leaving or had ended when the store was restored. */
+    std::set<ServerStart> leftBeforeRestore_;
     TimePoint restoringUntil_;
     TimePoint unconfirmedUntil_;
 
--- a/modules/jy_gateway/registry/StoreSync.cpp
+++ b/modules/jy_gateway/registry/StoreSync.cpp
@@ -70,6 +70,9 @@
     BOOST_OUTCOME_TRY(const auto list, readList());
     noteResponse();
     changed_ = false;
+    const auto position = mirror_.position();
+    if (position.revision != 0 && list.era > position.era && hooks_.restored)
+        hooks_.restored();
     if (!mirror_.applyList(list)) {
         logEvent(LogLevel::Info, "store-list-ignored",
                  {{"era", list.era}, {"latest", mirror_.position().era}});
--- a/modules/jy_gateway/registry/StoreSync.h
+++ b/modules/jy_gateway/registry/StoreSync.h
@@ -44,6 +44,9 @@
         /** A call succeeded again after lost(). Called before its items are merged. */
         std::function<void()> returned;
 
+        /** A list of a later era is about to replace the copy; may be empty. */
+        std::function<void()> restored;
+
         /** A list or a change was merged. */
         std::function<void()> merged;
 
--- a/tests/jy_gateway/DutyLeaseTest.cpp
+++ b/tests/jy_gateway/DutyLeaseTest.cpp
@@ -288,6 +288,29 @@
     }
 }
 
+// Guards against a token that falls because the copy is older than the first holder and its fence.
+TEST(DutyLeaseTest, TokenRisesIfTheCopyHasNoFence)
+{
+    DutyStore store;
+    const StoreFault fault = StoreFault::None;
+    const auto shared = store.open(fault);
+    const auto create = [&](const char *name) {
+        DutyLease lease(
+            shared, {InstanceId(name), 1}, settings, [&] { return store.now; },
+            [&] { return store.era; });
+        lease.noteEra();
+        return lease;
+    };
+    auto first = create("a");
+    auto second = create("b");
+    store.saveCopy();
+    ASSERT_TRUE(shared.commit({.writes = {{"op/x", "y"}}}));
+    ASSERT_TRUE(first.acquire());
+    store.restore(0);
+    ASSERT_TRUE(second.acquire());
+    EXPECT_GT(second.token(), first.token());
+}
+
 // Guards against duties that nobody performs: without faults the first instance acts from the end
 // of the takeover delay on, and after it has stopped the second one does.
 TEST(DutyLeaseTest, DutiesAreTakenOver)
--- a/tests/jy_gateway/FleetViewTest.cpp
+++ b/tests/jy_gateway/FleetViewTest.cpp
@@ -100,8 +100,8 @@
 {
     const char *name;
 
-    /** The change just before the restore, and what the restored copy lists instead. */
-    std::optional<FleetChange> before;
+    /** The changes before the restore, and what the restored copy lists instead. */
+    std::vector<FleetChange> before;
     std::optional<FleetChange> listed;
 
     /** Written by the server or the operator one second after the restore. */
@@ -135,8 +135,8 @@
     FleetView view({.serverHeartbeat = milliseconds(1200)});
     view.apply(ConfigWritten{twoServices()}, start);
     view.apply(ServerWritten{server("one", engines)}, start);
-    if (GetParam().before)
-        view.apply(*GetParam().before, start);
+    for (const auto &change : GetParam().before)
+        view.apply(change, start);
     view.storeRestored(start);
     if (GetParam().listed)
         view.apply(*GetParam().listed, start);
@@ -155,48 +155,101 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Cases, RestoredStoreTest,
-    testing::Values(
-        RestoreCase{"UnknownToTheCopyAndWrittenAgain",
-                    {},
-                    ServerRemoved{one},
-                    ServerWritten{server("one", engines)},
-                    true,
-                    true,
-                    true},
-        RestoreCase{"UnknownToTheCopyAndGone", {}, ServerRemoved{one}, {}, true, false, false},
-        RestoreCase{"WasLeaving", ServerWritten{leavingServer()},
-                    ServerWritten{server("one", engines)}, ServerWritten{leavingServer()}, false,
-                    false, false},
-        RestoreCase{"WasLeavingAndGoesAway", ServerWritten{leavingServer()},
-                    ServerWritten{server("one", engines)}, ServerRemoved{one}, false, false, false},
-        RestoreCase{"WasGoneAndDoesNotReturn", ServerRemoved{one},
-                    ServerWritten{server("one", engines)}, ServerRemoved{one}, false, false, false},
-        RestoreCase{"WasGoneAndReturns",
-                    ServerRemoved{one},
-                    ServerWritten{server("one", engines)},
-                    {},
-                    false,
-                    false,
-                    true},
-        RestoreCase{"WasGoneAndStartsAgain", ServerRemoved{one},
-                    ServerWritten{server("one", engines)}, ServerWritten{restartedServer()}, false,
-                    true, true},
-        RestoreCase{"EvacuationIsWrittenAgain", EvacuationWritten{DomainId("a")},
-                    EvacuationRemoved{DomainId("a")}, EvacuationWritten{DomainId("a")}, false,
-                    false, false},
-        RestoreCase{"EvacuationHadEnded",
-                    EvacuationWritten{DomainId("a")},
-                    EvacuationRemoved{DomainId("a")},
-                    {},
-                    false,
-                    true,
-                    true},
-        RestoreCase{
-            "RolloutIsWrittenAgain", RolloutWritten{{engines, VersionId("v1"), seconds(10), 7}},
-            RolloutRemoved{engines}, RolloutWritten{{engines, VersionId("v1"), seconds(10), 3}},
-            false, false, false}),
+    testing::Values(RestoreCase{"UnknownToTheCopyAndWrittenAgain",
+                                {},
+                                ServerRemoved{one},
+                                ServerWritten{server("one", engines)},
+                                true,
+                                true,
+                                true},
+                    RestoreCase{
+                        "UnknownToTheCopyAndGone", {}, ServerRemoved{one}, {}, true, false, false},
+                    RestoreCase{"WasLeaving",
+                                {ServerWritten{leavingServer()}},
+                                ServerWritten{server("one", engines)},
+                                ServerWritten{leavingServer()},
+                                false,
+                                false,
+                                false},
+                    RestoreCase{"WasLeavingAndGoesAway",
+                                {ServerWritten{leavingServer()}},
+                                ServerWritten{server("one", engines)},
+                                ServerRemoved{one},
+                                false,
+                                false,
+                                false},
+                    RestoreCase{"WasGoneAndDoesNotReturn",
+                                {ServerRemoved{one}},
+                                ServerWritten{server("one", engines)},
+                                ServerRemoved{one},
+                                false,
+                                false,
+                                false},
+                    RestoreCase{"WasGoneAndReturns",
+                                {ServerRemoved{one}},
+                                ServerWritten{server("one", engines)},
+                                {},
+                                false,
+                                false,
+                                true},
+                    RestoreCase{"WasGoneAndStartsAgain",
+                                {ServerRemoved{one}},
+                                ServerWritten{server("one", engines)},
+                                ServerWritten{restartedServer()},
+                                false,
+                                true,
+                                true},
+                    RestoreCase{"HadGoneAndReturnedBefore",
+                                {ServerRemoved{one}, ServerWritten{server("one", engines)}},
+                                ServerWritten{server("one", engines)},
+                                {},
+                                true,
+                                true,
+                                true},
+                    RestoreCase{"HadStartedAgainBefore",
+                                {ServerWritten{restartedServer()}},
+                                ServerWritten{server("one", engines)},
+                                {},
+                                true,
+                                true,
+                                true},
+                    RestoreCase{"EvacuationIsWrittenAgain",
+                                {EvacuationWritten{DomainId("a")}},
+                                EvacuationRemoved{DomainId("a")},
+                                EvacuationWritten{DomainId("a")},
+                                false,
+                                false,
+                                false},
+                    RestoreCase{"EvacuationHadEnded",
+                                {EvacuationWritten{DomainId("a")}},
+                                EvacuationRemoved{DomainId("a")},
+                                {},
+                                false,
+                                true,
+                                true},
+                    RestoreCase{"RolloutIsWrittenAgain",
+                                RolloutWritten{{engines, VersionId("v1"), seconds(10), 7}},
+                                RolloutRemoved{engines},
+                                RolloutWritten{{engines, VersionId("v1"), seconds(10), 3}}, false,
+                                false, false}),
     [](const auto &info) { return std::string(info.param.name); });
 
+// Guards against times that count from the first of two restores: the second copy shows the same
+// entries, so no change follows.
+TEST_F(FleetViewTest, SecondRestoreBeginsAllTimesAnew)
+{
+    view.apply(ServerWritten{server("missing", desk)}, start);
+    view.apply(ServerRemoved{ServerId("one")}, start);
+    view.storeRestored(start);
+    view.apply(ServerWritten{server("one", engines)}, start);
+    view.apply(ServerRemoved{ServerId("missing")}, start);
+    view.storeRestored(start + milliseconds(1500));
+    view.expire(start + milliseconds(2500));
+    EXPECT_NE(view.findServer(ServerId("missing")), nullptr);
+    EXPECT_FALSE(hasCandidates(start + milliseconds(5500)));
+    EXPECT_TRUE(hasCandidates(start + milliseconds(6500)));
+}
+
 TEST_F(FleetViewTest, EvacuatedDomainHasNoCandidatesAndIsColdAfterwards)
 {
     view.apply(EvacuationWritten{DomainId("a")}, start);
