Keep an idle connection open when a request has arrived at the timeout

A caller whose request arrived just before the idle timeout saw its connection reset without an answer, if the timer's handler ran before the fiber of the connection: on an event loop that was busy or frozen, and sooner where a configuration shortens the timeout. The request was not passed on.

Cause: the deadline closed the socket without looking at what had arrived. It now leaves a socket with unread bytes open; the pending wait then completes with them.

ChangedLimitsKeepOpenConnections passed before as well: changed limits closed no connection in it, so that hypothesis is ruled out as far as it tests it.

--- a/modules/jy_http/server/HttpConnection.cpp
+++ b/modules/jy_http/server/HttpConnection.cpp
@@ -204,7 +204,7 @@
     if (buffer_.size() > 0)
         return true;
     const SocketDeadline deadline(socket_, Clock::now() + settings_.idleTimeout,
-                                  SocketDeadline::Effect::Close);
+                                  SocketDeadline::Effect::CloseIfIdle);
     idle_ = true;
     error_code error;
     socket_.async_wait(tcp::socket::wait_read, FiberToken{error});
--- a/modules/jy_http/wire/SocketDeadline.cpp
+++ b/modules/jy_http/wire/SocketDeadline.cpp
@@ -9,9 +9,11 @@
     timer_.async_wait([state = state_, &socket, effect](boost::system::error_code error) {
         if (error || !state->active)
             return;
-        state->expired = true;
         boost::system::error_code ignored;
-        if (effect == Effect::Close)
+        if (effect == Effect::CloseIfIdle && socket.available(ignored) > 0)
+            return;
+        state->expired = true;
+        if (effect != Effect::EndReads)
             socket.close(ignored);
         else
             socket.shutdown(boost::asio::ip::tcp::socket::shutdown_receive, ignored);
--- a/modules/jy_http/wire/SocketDeadline.h
+++ b/modules/jy_http/wire/SocketDeadline.h
@@ -21,6 +21,7 @@
     enum class Effect {
         EndReads, /**< reads return end of file; a response can still be written */
         Close,
+        CloseIfIdle, /**< closes unless received bytes wait to be read */
     };
 
     SocketDeadline(boost::asio::ip::tcp::socket &socket, TimePoint at, Effect effect);
--- a/tests/jy_http/HttpServerTest.cpp
+++ b/tests/jy_http/HttpServerTest.cpp
@@ -210,6 +210,41 @@
     });
 }
 
+// Guards against an idle timeout that closes a connection on which a request has just arrived.
+TEST(HttpServer, RequestThatArrivesBeforeTheIdleTimeoutIsAnswered)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        auto server = jy::HttpServer::create(loop, {.idleTimeout = 40ms}, respondOk).value();
+        RawConnection connection(loop, server->localEndpoint());
+        ASSERT_TRUE(eventually([&] { return server->connections() == 1; }));
+        jy::EventLoop::sleepFor(10ms);
+        // Nothing else runs between the write and the end of the timeout.
+        connection.socket().write_some(boost::asio::buffer("GET / HTTP/1.1\r\n\r\n", 18));
+        std::this_thread::sleep_for(80ms);
+        EXPECT_EQ(connection.readSome().substr(0, 12), "HTTP/1.1 200");
+    });
+}
+
+// Guards against changed limits that close an open connection or leave a request unanswered.
+TEST(HttpServer, ChangedLimitsKeepOpenConnections)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        auto server = jy::HttpServer::create(loop, {.idleTimeout = 5s}, respondOk).value();
+        RawConnection connection(loop, server->localEndpoint());
+        for (int i = 0; i < 4; ++i) {
+            server->updateLimits(
+                {.idleTimeout = std::chrono::milliseconds(i % 2 == 0 ? 100 : 5000)});
+            connection.write("GET / HTTP/1.1\r\n");
+            jy::EventLoop::sleepFor(5ms);
+            server->updateLimits({.maxHeadBytes = 8192, .idleTimeout = 100ms});
+            connection.write("\r\n");
+            EXPECT_EQ(connection.readSome().substr(0, 12), "HTTP/1.1 200");
+        }
+    });
+}
+
 // Guards against one source that uses up all connections.
 TEST(HttpServer, LimitsConnectionsOfOneSource)
 {
