Log handlers that end with an exception

An exception after a response had begun left no line, so a connection that was closed for it looked like one that its caller had left. One line for each exception, without a rate limit, as for connection-failed.

--- a/modules/jy_http/server/HttpConnection.cpp
+++ b/modules/jy_http/server/HttpConnection.cpp
@@ -3,6 +3,7 @@
 #include "jy_http/wire/HeadWriter.h"
 #include "jy_http/wire/SocketDeadline.h"
 #include "jy_runtime/fibers/FiberToken.h"
+#include "jy_runtime/logging/Log.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
@@ -279,6 +280,10 @@
     try {
         handler_(request, responder);
     } catch (const std::exception &problem) {
+        logEvent(LogLevel::Error, "handler-failed",
+                 {{"path", request.path()},
+                  {"started", responder.started()},
+                  {"reason", problem.what()}});
         if (!responder.started())
             responder.send(errorResponse({ErrorKind::Internal, problem.what()}));
     }
