--- a/modules/jy_http/server/HttpConnection.cpp
+++ b/modules/jy_http/server/HttpConnection.cpp
@@ -3,6 +3,7 @@
 #include "jy_http/wire/HeadWriter.h"
 #include "jy_http/wire/SocketDeadline.h"
 #include "jy_runtime/fibers/FiberToken.h"
+#include "jy_runtime/logging/Log.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
@@ -227,7 +228,7 @@
     if (buffer_.size() > 0)
         return true;
     const SocketDeadline deadline(socket_, Clock::now() + settings_.idleTimeout,
-                                  SocketDeadline::Effect::Close);
+                                  SocketDeadline::Effect::CloseIfIdle);
     idle_ = true;
     error_code error;
     socket_.async_wait(tcp::socket::wait_read, FiberToken{error});
@@ -308,6 +309,10 @@
     try {
         handler_(request, responder);
     } catch (const std::exception &problem) {
+        logEvent(LogLevel::Error, "handler-failed",
+                 {{"path", request.path()},
+                  {"started", responder.started()},
+                  {"reason", problem.what()}});
         if (!responder.started())
             responder.send(errorResponse({ErrorKind::Internal, problem.what()}));
     }
