Place the first sight of an era on the boot clock

The true time is uncertain right after a start, before heartbeats of others arrive. A process that started after a restore could therefore skip too few windows of usage.

--- a/modules/jy_gateway/duties/DutyRunner.cpp
+++ b/modules/jy_gateway/duties/DutyRunner.cpp
@@ -268,7 +268,7 @@
             && lease_.soleUntil() && bootTime() < *lease_.soleUntil();
     }
     era_ = era;
-    eraSeenAt_ = dependencies_.trueTime();
+    eraSeenAt_ = bootTime();
 }
 
 std::optional<WallTime> DutyRunner::lostBefore(const std::deque<StoredReport> &stored) const
@@ -280,7 +280,9 @@
         stored, [](const StoredReport &entry) { return entry.era.has_value(); });
     if (!statesEra && !sawRestore_)
         return std::nullopt;
-    return eraSeenAt_;
+    // Not the true time of that moment, which is uncertain right after the start.
+    return dependencies_.trueTime()
+        - std::chrono::duration_cast<WallTime::duration>(bootTime() - eraSeenAt_);
 }
 
 Result<std::uint64_t> DutyRunner::commit(const StoreTransaction &transaction)
--- a/modules/jy_gateway/duties/DutyRunner.h
+++ b/modules/jy_gateway/duties/DutyRunner.h
@@ -144,7 +144,7 @@
 
     /** The latest era of the store, and when this process first knew of it. */
     std::optional<StoreEra> era_;
-    WallTime eraSeenAt_;
+    TimePoint eraSeenAt_;
 
     /** Whether this process has seen a restore of the store. */
     bool sawRestore_ = false;
