Write no progress of a rollout under a condition from before a restore

The condition is the revision that the copy of the store shows; after a restore it may be that of another state.

--- a/modules/jy_gateway/assembly/GatewayRollouts.cpp
+++ b/modules/jy_gateway/assembly/GatewayRollouts.cpp
@@ -158,6 +158,9 @@
 
 void Gateway::advance(const RolloutView &rollout, const RolloutStep &step)
 {
+    // The condition of the write was read before the store was restored.
+    if (copyIsOutdated())
+        return;
     const auto &order = rollout.order;
     const auto age = std::chrono::duration_cast<WallTime::duration>(Clock::now() - rollout.seen);
     RolloutProgress progress{.service = order.service,
