--- a/modules/jy_gateway/limits/PromptQuarantine.cpp
+++ b/modules/jy_gateway/limits/PromptQuarantine.cpp
@@ -298,11 +298,10 @@
 PartReport PromptQuarantine::takeReport(std::size_t maxEntries, bool complete, TimePoint now)
 {
     auto report = take(heartbeats_, maxEntries, now);
-    // What others do not know yet goes first, within the same limit.
-    if (!complete || !heartbeats_.crashes.empty() || report.size() >= maxEntries)
+    if (!complete || !report.quarantined.empty())
         return report;
-    const auto count =
-        std::min({repeatedQuarantines, quarantined_.size(), maxEntries - report.size()});
+    // Within the limit, so that crashes are not kept waiting.
+    const auto count = std::min({repeatedQuarantines, quarantined_.size(), maxEntries});
     for (std::size_t i = 0; i < count; ++i) {
         auto next = quarantined_.upper_bound(lastRepeated_);
         if (next == quarantined_.end())
--- a/modules/jy_gateway/limits/PromptQuarantine.h
+++ b/modules/jy_gateway/limits/PromptQuarantine.h
@@ -170,8 +170,8 @@
     /** Takes what the next heartbeat says about parts; nothing while none is suspected.
      *
      * @param maxEntries limit of each list
-     * @param complete repeats quarantines by turns, for instances that have just started, if no
-     * crash waits to be sent
+     * @param complete repeats quarantines by turns, for instances that have just started,
+     * within the limit
      */
     PartReport takeReport(std::size_t maxEntries, bool complete, TimePoint now);
 
