--- a/tests/jy_gateway/FleetViewTest.cpp
+++ b/tests/jy_gateway/FleetViewTest.cpp
@@ -228,10 +228,12 @@
                                 true,
                                 true},
                     RestoreCase{"RolloutIsWrittenAgain",
-                                RolloutWritten{{engines, VersionId("v1"), seconds(10), 7}},
+                                {RolloutWritten{{engines, VersionId("v1"), seconds(10), 7}}},
                                 RolloutRemoved{engines},
-                                RolloutWritten{{engines, VersionId("v1"), seconds(10), 3}}, false,
-                                false, false}),
+                                RolloutWritten{{engines, VersionId("v1"), seconds(10), 3}},
+                                false,
+                                false,
+                                false}),
     [](const auto &info) { return std::string(info.param.name); });
 
 // Guards against times that count from the first of two restores: the second copy shows the same
