--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -148,6 +148,10 @@
     /** Key of the current attempt at the stall detector. */
     StallDetector::RequestKey watch_ = 0;
 
+    /** When the retry of the reserved attempt was granted. Declared before the reservation, whose
+     * destructor reads it. */
+    TimePoint retryGranted_;
+
     /** The next attempt, and the timer that moves the request to it from a silent server. */
     RetryReservation retry_;
     SilenceTimer silenceTimer_;
@@ -164,9 +168,6 @@
     /** A line was logged that says why the current attempt stays at a silent server. */
     bool keptLogged_ = false;
 
-    /** When the retry of the reserved attempt was granted. */
-    TimePoint retryGranted_;
-
     /** When the current attempt was sent, and whether its server is known to run it. */
     TimePoint sentAt_;
     bool began_ = false;
