--- a/tests/jy_http/HttpClientTest.cpp
+++ b/tests/jy_http/HttpClientTest.cpp
@@ -67,7 +67,8 @@
 {
     jy::EventLoop loop;
     loop.run([&] {
-        const auto &[text, reset] = GetParam();
+        const auto &text = std::get<0>(GetParam());
+        const bool reset = std::get<1>(GetParam());
         std::size_t length = 0;
         const RawServer backend(loop, [&](tcp::socket &socket, int) {
             RawServer::readHead(socket);
