--- /dev/null
+++ b/review/standins/Json.cpp
@@ -0,0 +1,2 @@
+// Boost.JSON, compiled once for all cases.
+#include <boost/json/src.hpp>
