--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,62 +1,71 @@
-// Case 3: a request whose body says how it is coded, but not in a way that the gateway knows, with
-// another request inside its body.
+// A sound server pauses for a second in the middle of its streams, while the other server is full.
 
 #include "../standins/Deployment.h"
 
-#include <array>
-#include <set>
-
 namespace {
 
 using namespace review;
 using std::chrono::seconds;
 
+constexpr int slots = 6;
+constexpr int queued = 2;
+constexpr int streams = 2 * (slots + queued);
+constexpr int events = 80;
+constexpr milliseconds eventGap{40};
+
+// The pause of server i-1, after this event. Clients leave after a gap of 2 s.
+constexpr int pauseAfter = 30;
+constexpr milliseconds pauseTime{1400};
+
 constexpr std::string_view config =
     R"({"version":7,"routes":[)"
-    R"({"name":"note","host":"app.example","prefix":"/note/","route_kind":"unsafe",)"
-    R"("service":"app","timeout_ms":3000,"target_latency_ms":300,"max_attempts":1,"priority":1},)"
-    R"({"name":"booking","host":"app.example","prefix":"/booking/","route_kind":"unsafe",)"
-    R"("service":"app","timeout_ms":3000,"target_latency_ms":300,"max_attempts":1,"priority":1}],)"
-    R"("services":[{"name":"app","max_connections":110}],)"
+    R"({"name":"advice","host":"app.example","prefix":"/advice/","route_kind":"stream",)"
+    R"("stream_resume":true,"service":"pool","timeout_ms":15000,"target_latency_ms":300,)"
+    R"("gap_target_ms":250,"max_attempts":2,"priority":1}],)"
+    R"("services":[{"name":"pool","max_connections":370}],)"
     R"("limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":5000,)"
-    R"("idle_timeout_ms":15000},)"
-    R"("tenants":[{"name":"alpha","api_keys":["key-alpha"]},{"name":"beta","api_keys":["key-beta"]}]})";
-
-// Codings of which chunked is not the last one; RFC 9112, section 6.3 asks for 400 and a closed
-// connection.
-constexpr std::array codings = {"gzip", "identity", "chunked, identity", "xchunked"};
-
-/** Runs at the servers, by attempt id. */
-struct Runs
-{
-    std::mutex mutex;
-    std::set<std::string> ids;
-};
+    R"("idle_timeout_ms":15000}})";
 
 Verdict run(Record &record)
 {
     const TemporaryFolder folder;
     auto &store = *new Store;
-    auto &runs = *new Runs;
     store.put("op/config", std::string(config));
-    for (int i = 1; i <= 3; ++i) {
+    for (int i = 1; i <= 2; ++i) {
         const auto id = "i-" + std::to_string(i);
-        new Server(store, id, "app", "zone-" + std::to_string(i), 6,
-                   [&, id](const Message &request, Connection &out) {
-                       const auto attempt = request.value("Jacinthyoke-Attempt-Id");
-                       {
-                           const std::lock_guard lock(runs.mutex);
-                           runs.ids.insert(attempt);
-                       }
-                       record.line("server " + id + " runs " + request.startLine + ", id " + attempt
-                                   + ", tenant " + request.value("Jacinthyoke-Tenant") + ", body of "
-                                   + std::to_string(request.body.size()) + " bytes");
-                       pause(milliseconds(20));
-                       out.write(response(200,
-                                          "Jacinthyoke-Attempt-Id: " + attempt
-                                              + "\r\nJacinthyoke-Replica-Seal: " + id + "\r\n",
-                                          "done"));
-                   });
+        auto &running = *new std::atomic<int>(0);
+        new Server(
+            store, id, "pool", "zone-" + std::to_string(i), slots,
+            [&, id, i](const Message &request, Connection &out) {
+                const auto attempt = request.value("Jacinthyoke-Attempt-Id");
+                const auto echo = "Jacinthyoke-Attempt-Id: " + attempt + "\r\n";
+                if (++running > slots + queued) {
+                    --running;
+                    record.line("server " + id + " is full and refuses " + attempt);
+                    out.write(response(503, echo + "Jacinthyoke-Not-Executed: 1\r\n", ""));
+                    return;
+                }
+                const auto last = std::atoi(request.value("Last-Event-Id").c_str());
+                record.line("server " + id + " runs " + attempt + " after event " + std::to_string(last));
+                out.write("HTTP/1.1 200 OK\r\n" + echo + "Jacinthyoke-Replica-Seal: " + id
+                          + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+                bool open = true;
+                for (int event = last + 1; event <= events && open; ++event) {
+                    const auto text = "id: " + std::to_string(event) + "\ndata: word\n\n";
+                    char size[16];
+                    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+                    open = !out.peerClosed() && out.write(size + text + "\r\n");
+                    pause(eventGap);
+                    if (withTrouble() && i == 1 && event == pauseAfter)
+                        pause(pauseTime);
+                }
+                open = open && out.write("0\r\n\r\n");
+                record.line("server " + id + (open ? " has run " : ": the gateway closed the connection of ")
+                            + attempt);
+                --running;
+                if (!open)
+                    out.close();
+            });
     }
     std::vector<std::unique_ptr<Gateway>> gateways;
     for (int i = 1; i <= 2; ++i) {
@@ -72,54 +81,42 @@
     if (!ready)
         return couldNotRun;
     pause(seconds(4));
-
-    // The request that a user of the client has put into a note; it names another tenant's key.
-    const auto inner = [](int number) {
-        return "POST /booking/1 HTTP/1.1\r\nHost: app.example\r\nJacinthyoke-Attempt-Id: inside-"
-            + std::to_string(number)
-            + "\r\nJacinthyoke-Credential: key-beta\r\nContent-Length: 0\r\n\r\n";
-    };
-    int number = 0;
-    std::set<std::string> sent;
     for (const auto &gateway : gateways) {
-        for (const std::string coding : codings) {
-            ++number;
-            const auto body = inner(number);
-            const auto id = "note-" + std::to_string(number);
-            sent.insert(id);
-            std::string message = "POST /note/1 HTTP/1.1\r\nHost: app.example\r\nJacinthyoke-Attempt-Id: "
-                + id + "\r\nJacinthyoke-Deadline-Ms: 3000\r\nJacinthyoke-Credential: key-alpha\r\n";
-            if (withTrouble())
-                message += "Transfer-Encoding: " + coding + "\r\n\r\n" + body;
-            else if (number % 2 == 0)
-                message += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-            else {
-                char size[16];
-                std::snprintf(size, sizeof size, "%zx\r\n", body.size());
-                message += "Transfer-Encoding: chunked\r\n\r\n" + (size + body) + "\r\n0\r\n\r\n";
-            }
-            const auto connection = Connection::open(gateway->caller);
-            if (!connection || !connection->write(message))
-                return couldNotRun;
-            record.line("client sends " + id + " to " + gateway->name()
-                        + (withTrouble() ? ", Transfer-Encoding: " + coding : ""));
-            const auto until = Clock::now() + seconds(1);
-            while (const auto answer = connection->read(until, true))
-                record.line("client: " + id + ": " + answer->startLine + ", for the id "
-                            + answer->value("Jacinthyoke-Attempt-Id"));
-        }
+        record.line("platform: SIGHUP to " + gateway->name());
+        gateway->signal(SIGHUP);
+    }
+    pause(milliseconds(200));
+    std::vector<std::thread> callers;
+    std::vector<bool> whole(streams, false);
+    std::mutex mutex;
+    for (int i = 0; i < streams; ++i) {
+        callers.emplace_back([&, i] {
+            const auto attempt = "advice-" + std::to_string(i);
+            const auto &gateway = *gateways[0];
+            const auto connection = Connection::open(gateway.caller);
+            if (!connection)
+                return;
+            connection->write("POST /advice/1 HTTP/1.1\r\nHost: app.example\r\nJacinthyoke-Attempt-Id: "
+                              + attempt + "\r\nJacinthyoke-Deadline-Ms: 15000\r\nContent-Length: 0\r\n\r\n");
+            const auto answer = connection->read(Clock::now() + seconds(15), true);
+            const std::lock_guard lock(mutex);
+            whole[static_cast<std::size_t>(i)] = answer && answer->status() == 200 && answer->complete;
+            record.line("client: " + attempt + ": "
+                        + (!answer ? "no answer"
+                               : answer->complete ? "whole answer" : "broken off after " + std::to_string(answer->body.size()) + " bytes"));
+        });
+        pause(milliseconds(30));
     }
-    const std::lock_guard lock(runs.mutex);
-    const auto smuggled = std::ranges::count_if(
-        runs.ids, [&](const std::string &id) { return !sent.contains(id); });
-    record.line(std::to_string(smuggled) + " requests ran that no client sent, out of "
-                + std::to_string(runs.ids.size()));
-    return smuggled > 0 ? broken : held;
+    for (auto &caller : callers)
+        caller.join();
+    const auto cut = std::ranges::count(whole, false);
+    record.line(std::to_string(cut) + " of " + std::to_string(streams) + " streams were cut");
+    return cut > 0 ? broken : held;
 }
 
 } // namespace
 
 int main(int, char **arguments)
 {
-    review::runCase(arguments[1], "UNASKED", run);
+    review::runCase(arguments[1], "LOST", run);
 }
