--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -39,8 +39,9 @@
     Result result{.id = route + '-' + std::to_string(number), .outcome = "no connection"};
     const auto connection = Connection::open(gateway.caller);
     const bool sent = connection
-        && connection->write("POST /" + route + "/1 HTTP/1.1\r\nHost: app.example\r\n"
-                             "Jacinthyoke-Attempt-Id: "
+        && connection->write("POST /" + route
+                             + "/1 HTTP/1.1\r\nHost: app.example\r\n"
+                               "Jacinthyoke-Attempt-Id: "
                              + result.id
                              + "\r\nJacinthyoke-Deadline-Ms: 15000\r\nContent-Length: 2\r\n\r\nhi");
     record.line("client sends " + result.id + " to " + gateway.name());
@@ -48,11 +49,12 @@
         const auto answer = connection->read(Clock::now() + seconds(15), true);
         const bool streamed = route == "advice";
         result.answered = answer && answer->status() == 200 && answer->complete
-            && (!streamed || answer->body.find("id: " + std::to_string(events) + "\n") != std::string::npos);
+            && (!streamed
+                || answer->body.find("id: " + std::to_string(events) + "\n") != std::string::npos);
         result.outcome = !answer ? "connection ended without an answer"
             : result.answered    ? "whole answer"
                                  : std::to_string(answer->status()) + ", broken off after "
-                    + std::to_string(answer->body.size()) + " bytes";
+                + std::to_string(answer->body.size()) + " bytes";
     }
     record.line("client: " + result.id + ": " + result.outcome);
     return result;
@@ -74,13 +76,15 @@
                 record.line("server " + id + " runs " + attempt);
                 if (request.target().starts_with("/booking/")) {
                     pause(bookingTime);
-                    const bool delivered = !out.peerClosed() && out.write(response(200, seal, "booked"));
+                    const bool delivered =
+                        !out.peerClosed() && out.write(response(200, seal, "booked"));
                     record.line("server " + id + " has run " + attempt
                                 + (delivered ? "" : "; the gateway has closed the connection"));
                     return;
                 }
-                out.write("HTTP/1.1 200 OK\r\n" + seal
-                          + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+                out.write(
+                    "HTTP/1.1 200 OK\r\n" + seal
+                    + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
                 for (int event = 1; event <= events; ++event) {
                     const auto text = "id: " + std::to_string(event) + "\ndata: word\n\n";
                     char size[16];
@@ -119,8 +123,9 @@
     std::vector<std::thread> callers;
     std::vector<Result> results(streams + bookings);
     const auto send = [&](int index, const std::string &route) {
-        callers.emplace_back(
-            [&, index, route] { results[static_cast<std::size_t>(index)] = call(record, stopped, route, index); });
+        callers.emplace_back([&, index, route] {
+            results[static_cast<std::size_t>(index)] = call(record, stopped, route, index);
+        });
     };
     for (int i = 0; i < streams; ++i)
         send(i, "advice");
@@ -142,12 +147,14 @@
     if (status && WIFSIGNALED(*status))
         record.line(stopped.name() + " was ended by signal " + std::to_string(WTERMSIG(*status)));
     else if (status)
-        record.line(stopped.name() + " ended with exit status " + std::to_string(WEXITSTATUS(*status)));
+        record.line(stopped.name() + " ended with exit status "
+                    + std::to_string(WEXITSTATUS(*status)));
     else
         record.line(stopped.name() + " has not ended 9 s after the SIGTERM");
     for (auto &caller : callers)
         caller.join();
-    const auto lost = std::ranges::count_if(results, [](const Result &one) { return !one.answered; });
+    const auto lost =
+        std::ranges::count_if(results, [](const Result &one) { return !one.answered; });
     record.line(std::to_string(lost) + " of " + std::to_string(results.size())
                 + " accepted requests ended without a complete answer");
     return lost > 0 ? broken : held;
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,4 +1,5 @@
-// A sound server pauses for a second in the middle of its streams, while the other server is full.
+// Case 3: a sound server pauses for a second in the middle of its streams, while the other server
+// is full.
 
 #include "../standins/Deployment.h"
 
@@ -46,9 +47,11 @@
                     return;
                 }
                 const auto last = std::atoi(request.value("Last-Event-Id").c_str());
-                record.line("server " + id + " runs " + attempt + " after event " + std::to_string(last));
-                out.write("HTTP/1.1 200 OK\r\n" + echo + "Jacinthyoke-Replica-Seal: " + id
-                          + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+                record.line("server " + id + " runs " + attempt + " after event "
+                            + std::to_string(last));
+                out.write(
+                    "HTTP/1.1 200 OK\r\n" + echo + "Jacinthyoke-Replica-Seal: " + id
+                    + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
                 bool open = true;
                 for (int event = last + 1; event <= events && open; ++event) {
                     const auto text = "id: " + std::to_string(event) + "\ndata: word\n\n";
@@ -60,7 +63,8 @@
                         pause(pauseTime);
                 }
                 open = open && out.write("0\r\n\r\n");
-                record.line("server " + id + (open ? " has run " : ": the gateway closed the connection of ")
+                record.line("server " + id
+                            + (open ? " has run " : ": the gateway closed the connection of ")
                             + attempt);
                 --running;
                 if (!open)
@@ -96,14 +100,19 @@
             const auto connection = Connection::open(gateway.caller);
             if (!connection)
                 return;
-            connection->write("POST /advice/1 HTTP/1.1\r\nHost: app.example\r\nJacinthyoke-Attempt-Id: "
-                              + attempt + "\r\nJacinthyoke-Deadline-Ms: 15000\r\nContent-Length: 0\r\n\r\n");
+            connection->write(
+                "POST /advice/1 HTTP/1.1\r\nHost: app.example\r\nJacinthyoke-Attempt-Id: " + attempt
+                + "\r\nJacinthyoke-Deadline-Ms: 15000\r\nContent-Length: 0\r\n\r\n");
+            record.line("client sends " + attempt + " to " + gateway.name());
             const auto answer = connection->read(Clock::now() + seconds(15), true);
             const std::lock_guard lock(mutex);
-            whole[static_cast<std::size_t>(i)] = answer && answer->status() == 200 && answer->complete;
+            whole[static_cast<std::size_t>(i)] =
+                answer && answer->status() == 200 && answer->complete;
             record.line("client: " + attempt + ": "
-                        + (!answer ? "no answer"
-                               : answer->complete ? "whole answer" : "broken off after " + std::to_string(answer->body.size()) + " bytes"));
+                        + (!answer                ? "no answer"
+                               : answer->complete ? "whole answer"
+                                                  : "broken off after "
+                                   + std::to_string(answer->body.size()) + " bytes"));
         });
         pause(milliseconds(30));
     }
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -8,7 +8,7 @@
 using std::chrono::seconds;
 
 // Requests of which half reach the faulty server.
-constexpr int requests = 24;
+constexpr int requests = 48;
 constexpr milliseconds routeTimeout{1500};
 constexpr milliseconds allowed{500};
 constexpr milliseconds clientDeadline{5000};
@@ -37,15 +37,17 @@
     if (!connection)
         return result;
     connection->write("POST /advice/1 HTTP/1.1\r\nHost: app.example\r\nJacinthyoke-Attempt-Id: "
-                      + attempt + "\r\nJacinthyoke-Deadline-Ms: "
-                      + std::to_string(clientDeadline.count()) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+                      + attempt
+                      + "\r\nJacinthyoke-Deadline-Ms: " + std::to_string(clientDeadline.count())
+                      + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
     record.line("client sends " + attempt + " to " + gateway.name());
     // The gateway closes the connection at the end of its answer, whole or not.
     const auto bytes = connection->discard(begin + clientDeadline);
     result.took = std::chrono::duration_cast<milliseconds>(Clock::now() - begin);
     record.line("client: " + attempt + ": "
                 + (connection->ended() ? "ended" : "not ended, the client leaves") + " after "
-                + std::to_string(result.took.count()) + " ms and " + std::to_string(bytes) + " bytes");
+                + std::to_string(result.took.count()) + " ms and " + std::to_string(bytes)
+                + " bytes");
     return result;
 }
 
@@ -80,7 +82,8 @@
                            else if (!out.write(noise))
                                break;
                        }
-                       record.line("server " + id + ": the connection of " + attempt + " has ended");
+                       record.line("server " + id + ": the connection of " + attempt
+                                   + " has ended");
                        out.close();
                    });
     }
@@ -103,15 +106,15 @@
     std::vector<std::thread> callers;
     for (int i = 0; i < requests; ++i) {
         const auto index = static_cast<std::size_t>(i);
-        callers.emplace_back([&, index, i] { results[index] = call(record, *gateways[index % 2], i); });
+        callers.emplace_back(
+            [&, index, i] { results[index] = call(record, *gateways[index % 2], i); });
     }
     for (auto &caller : callers)
         caller.join();
-    const auto longer = std::ranges::count_if(
-        results, [](const Result &one) { return one.took > routeTimeout; });
-    const auto late = std::ranges::count_if(results, [](const Result &one) {
-        return one.took > routeTimeout + allowed;
-    });
+    const auto longer =
+        std::ranges::count_if(results, [](const Result &one) { return one.took > routeTimeout; });
+    const auto late = std::ranges::count_if(
+        results, [](const Result &one) { return one.took > routeTimeout + allowed; });
     record.line(std::to_string(longer) + " requests lasted longer than the route's timeout_ms; "
                 + std::to_string(late) + " of these had not ended 0.5 s after it");
     return late >= 8 && 4 * late > longer ? broken : held;
--- a/review/standins/Deployment.h
+++ b/review/standins/Deployment.h
@@ -55,8 +55,8 @@
             address.sin_family = AF_INET;
             address.sin_port = htons(port);
             address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-            isFree = isFree
-                && ::bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
+            isFree =
+                isFree && ::bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
             ::close(fd);
         }
         if (isFree)
@@ -85,7 +85,9 @@
     /** Renders the settings as deploy/gateway-settings.json.in does. */
     void writeSettings(const std::vector<std::uint16_t> &seeds, int memoryMb = 260) const
     {
-        const auto at = [](std::uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + '"'; };
+        const auto at = [](std::uint16_t port) {
+            return "\"127.0.0.1:" + std::to_string(port) + '"';
+        };
         std::string list;
         for (const auto seed : seeds)
             list += (list.empty() ? "" : ",") + at(seed);
@@ -144,7 +146,8 @@
     bool ready() const
     {
         const auto connection = Connection::open(readiness);
-        if (!connection || !connection->write("GET /jacinthyoke/readiness HTTP/1.1\r\nHost: r\r\n\r\n"))
+        if (!connection
+            || !connection->write("GET /jacinthyoke/readiness HTTP/1.1\r\nHost: r\r\n\r\n"))
             return false;
         const auto answer = connection->read(Clock::now() + milliseconds(500), true);
         return answer && answer->status() == 200;
@@ -212,11 +215,11 @@
 private:
     void heartbeat()
     {
-        boost::json::object entry{{"service", service_},   {"address", listener_.address()},
-                                  {"zone", zone_},         {"version", "v1"},
-                                  {"slots", slots_},       {"state", "ready"},
-                                  {"cold_left_ms", 0},     {"sequence", 1},
-                                  {"born", 1790000000000}};
+        boost::json::object entry{{"service", service_}, {"address", listener_.address()},
+                                  {"zone", zone_},       {"version", "v1"},
+                                  {"slots", slots_},     {"state", "ready"},
+                                  {"cold_left_ms", 0},   {"sequence", 1},
+                                  {"born", born_}};
         const auto text = boost::json::serialize(entry);
         if (text != written_)
             store_.put("servers/" + id_, written_ = text);
@@ -231,7 +234,8 @@
             const auto id = request->value("Jacinthyoke-Attempt-Id");
             const auto echo = "Jacinthyoke-Attempt-Id: " + id + "\r\n";
             if (expected && *expected != id_)
-                connection.write(response(421, echo + "Jacinthyoke-Replica-Id: " + id_ + "\r\n", ""));
+                connection.write(
+                    response(421, echo + "Jacinthyoke-Replica-Id: " + id_ + "\r\n", ""));
             else if (id.empty())
                 connection.write(response(400, "Jacinthyoke-Not-Executed: 1\r\n", ""));
             else
@@ -246,6 +250,9 @@
     int slots_;
     Handler handler_;
     std::string written_;
+    std::int64_t born_ = std::chrono::duration_cast<milliseconds>(
+                             std::chrono::system_clock::now().time_since_epoch())
+                             .count();
     Listener listener_;
 };
 
@@ -294,8 +301,8 @@
 
 enum Verdict { held = 0, broken = 1, couldNotRun = 2 };
 
-/** Runs a case and ends the process with its verdict. Stores and servers that @p run creates have to
- * live on, as their threads are detached; gateways and folders have to end with it. */
+/** Runs a case and ends the process with its verdict. Stores and servers that @p run creates have
+ * to live on, as their threads are detached; gateways and folders have to end with it. */
 [[noreturn]] inline void runCase(const char *recordFile, const std::string &rule,
                                  const std::function<Verdict(Record &)> &run)
 {
@@ -306,7 +313,7 @@
     } catch (const std::exception &error) {
         record.line(std::string("error: ") + error.what());
     }
-    record.line(verdict == broken ? rule + " was broken"
+    record.line(verdict == broken     ? rule + " was broken"
                     : verdict == held ? rule + " held"
                                       : "the case could not run");
     std::_Exit(verdict);
--- a/review/standins/Http.h
+++ b/review/standins/Http.h
@@ -45,7 +45,8 @@
     const std::string *find(std::string_view name) const
     {
         for (const auto &[field, value] : headers) {
-            if (field.size() == name.size() && ::strncasecmp(field.data(), name.data(), name.size()) == 0)
+            if (field.size() == name.size()
+                && ::strncasecmp(field.data(), name.data(), name.size()) == 0)
                 return &value;
         }
         return nullptr;
@@ -55,10 +56,7 @@
         const auto *found = find(name);
         return found ? *found : std::string();
     }
-    int status() const
-    {
-        return startLine.size() >= 12 ? std::atoi(startLine.c_str() + 9) : 0;
-    }
+    int status() const { return startLine.size() >= 12 ? std::atoi(startLine.c_str() + 9) : 0; }
     std::string method() const { return startLine.substr(0, startLine.find(' ')); }
     std::string target() const
     {
--- a/review/standins/Store.h
+++ b/review/standins/Store.h
@@ -20,7 +20,8 @@
     for (std::size_t i = 0; i < bytes.size(); i += 3) {
         std::uint32_t word = 0;
         for (std::size_t k = 0; k < 3; ++k)
-            word = word << 8 | (i + k < bytes.size() ? static_cast<unsigned char>(bytes[i + k]) : 0);
+            word =
+                word << 8 | (i + k < bytes.size() ? static_cast<unsigned char>(bytes[i + k]) : 0);
         for (std::size_t k = 0; k < 4; ++k)
             out += i + k <= bytes.size() ? table[word >> (18 - 6 * k) & 63] : '=';
     }
@@ -177,7 +178,8 @@
         if (path == "/jacinthyoke/kv-txn")
             return commit(boost::json::parse(request.body).as_object());
         if (path == "/jacinthyoke/kv-lease") {
-            const auto ttl = boost::json::parse(request.body).at("ttl_ms").to_number<std::int64_t>();
+            const auto ttl =
+                boost::json::parse(request.body).at("ttl_ms").to_number<std::int64_t>();
             leases_[++lastLease_] = {milliseconds(ttl), Clock::now() + milliseconds(ttl)};
             return {200, {{"lease", lastLease_}, {"ttl_ms", ttl}}};
         }
