Handle signals from the start of a process to its end

Cause: the signal_set was a local variable of Gateway::waitForSignals(), which returned at the first SIGTERM. Its destructor restored the default action of all three signals before the shutdown began. jyrouter held SIGHUP in a supervised fiber that ended within the shutdown.

Ruled out: a reload that shortens the shutdown, and one that closes connections. The exit codes were 129 and 143, and after "stopping" the log had neither "reloaded" nor "stopped".

Now ProcessSignals handles the three signals in both programs from the first line of main() on. The program asks it for requests to reload or stop; signals after a stop are logged and ignored.

The soak now sends signals to processes that stop.

--- a/bench/common/ChildProcess.h
+++ b/bench/common/ChildProcess.h
@@ -24,6 +24,9 @@
     const std::string &program() const { return program_; }
     int pid() const { return pid_; }
 
+    /** Sends a signal unless the process has ended. */
+    void signal(int number);
+
     void terminate() { signal(15); }
     void pause() { signal(19); }
     void resume() { signal(18); }
@@ -46,8 +49,6 @@
     Usage usage() const;
 
 private:
-    void signal(int number);
-
     std::string program_;
     int pid_ = -1;
     std::optional<int> exitCode_;
--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -4,12 +4,9 @@
 #include "jy_gateway/placement/AddressSampler.h"
 #include "jy_gateway/registry/InstanceEntry.h"
 #include "jy_gateway/registry/StoreCopy.h"
-#include "jy_runtime/fibers/FiberToken.h"
 #include "jy_runtime/logging/Log.h"
 #include "jy_runtime/settings/Settings.h"
 
-#include <boost/asio/signal_set.hpp>
-
 #include <random>
 
 namespace jy {
@@ -84,9 +81,10 @@
 
 } // namespace
 
-Gateway::Gateway(EventLoop &loop, GatewaySettings settings, std::string settingsFile,
-                 PlatformAdapter adapter)
+Gateway::Gateway(EventLoop &loop, ProcessSignals &signals, GatewaySettings settings,
+                 std::string settingsFile, PlatformAdapter adapter)
     : loop_(loop)
+    , signals_(signals)
     , settings_(std::move(settings))
     , settingsFile_(std::move(settingsFile))
     , adapter_(std::move(adapter))
@@ -164,11 +162,12 @@
 
 Gateway::~Gateway() = default;
 
-Result<std::unique_ptr<Gateway>> Gateway::create(EventLoop &loop, GatewaySettings settings,
-                                                 std::string settingsFile, PlatformAdapter adapter)
+Result<std::unique_ptr<Gateway>> Gateway::create(EventLoop &loop, ProcessSignals &signals,
+                                                 GatewaySettings settings, std::string settingsFile,
+                                                 PlatformAdapter adapter)
 {
-    std::unique_ptr<Gateway> gateway(
-        new Gateway(loop, std::move(settings), std::move(settingsFile), std::move(adapter)));
+    std::unique_ptr<Gateway> gateway(new Gateway(loop, signals, std::move(settings),
+                                                 std::move(settingsFile), std::move(adapter)));
     BOOST_OUTCOME_TRYV2(auto &&, gateway->listen());
     return gateway;
 }
@@ -220,7 +219,9 @@
               {"store", toString(settings_.store)}});
     BOOST_OUTCOME_TRY(supervisor_, Supervisor::create("gateway", {}, logSupervision));
     startChildren();
-    waitForSignals();
+    while (signals_.next() == ProcessSignals::Request::Reload)
+        reload();
+    logEvent(LogLevel::Info, "stopping", {{"signal", signals_.stopSignal()}});
     shutDown();
     return success();
 }
@@ -292,20 +293,6 @@
                                  .requestTimeout = limits.requestTimeout});
 }
 
-void Gateway::waitForSignals()
-{
-    boost::asio::signal_set signals(loop_.io(), SIGTERM, SIGINT, SIGHUP);
-    while (true) {
-        boost::system::error_code error;
-        const int signal = signals.async_wait(FiberToken{error});
-        if (error || signal != SIGHUP) {
-            logEvent(LogLevel::Info, "stopping", {{"signal", signal}});
-            return;
-        }
-        reload();
-    }
-}
-
 void Gateway::reload()
 {
     const auto settings = loadSettings<GatewaySettings>(settingsFile_);
--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -19,6 +19,7 @@
 #include "jy_gateway/rollouts/RolloutTraffic.h"
 #include "jy_gateway/settings/GatewaySettings.h"
 #include "jy_http/server/HttpServer.h"
+#include "jy_runtime/program/ProcessSignals.h"
 #include "jy_runtime/supervision/Supervisor.h"
 
 #include <boost/fiber/condition_variable.hpp>
@@ -58,8 +59,15 @@
 class Gateway
 {
 public:
-    /** Binds all listen addresses. @returns SettingsInvalid if one cannot be bound */
-    static Result<std::unique_ptr<Gateway>> create(EventLoop &loop, GatewaySettings settings,
+    /**
+     * Binds all listen addresses.
+     *
+     * @param signals must outlive the gateway
+     * @param settingsFile read again on SIGHUP
+     * @returns SettingsInvalid if an address cannot be bound
+     */
+    static Result<std::unique_ptr<Gateway>> create(EventLoop &loop, ProcessSignals &signals,
+                                                   GatewaySettings settings,
                                                    std::string settingsFile,
                                                    PlatformAdapter adapter);
 
@@ -71,8 +79,8 @@
     Result<void> run();
 
 private:
-    Gateway(EventLoop &loop, GatewaySettings settings, std::string settingsFile,
-            PlatformAdapter adapter);
+    Gateway(EventLoop &loop, ProcessSignals &signals, GatewaySettings settings,
+            std::string settingsFile, PlatformAdapter adapter);
 
     Result<void> listen();
     Result<std::unique_ptr<HttpServer>> serve(const Endpoint &address, HttpHandler handler);
@@ -132,7 +140,6 @@
     void updateQuarantine(TimePoint now);
     void fetchPeerCopy();
     void applyLimits();
-    void waitForSignals();
     void reload();
     void shutDown();
 
@@ -140,6 +147,7 @@
     double minimumRetryRate() const;
 
     EventLoop &loop_;
+    ProcessSignals &signals_;
     GatewaySettings settings_;
     std::string settingsFile_;
     PlatformAdapter adapter_;
--- a/modules/jy_router/assembly/Router.cpp
+++ b/modules/jy_router/assembly/Router.cpp
@@ -5,7 +5,6 @@
 #include "jy_router/assembly/PeerWiring.h"
 #include "jy_router/operations/StatusMetrics.h"
 #include "jy_router/shutdown/GracefulShutdown.h"
-#include "jy_runtime/fibers/FiberToken.h"
 #include "jy_runtime/logging/Log.h"
 
 #include <csignal>
@@ -26,19 +25,33 @@
 // Outcomes of protected calls that are not recorded by then stay unknown to repetitions.
 constexpr std::chrono::seconds recordTimeout{10};
 
+std::string stopSignalName(int signal)
+{
+    switch (signal) {
+    case SIGTERM:
+        return "SIGTERM";
+    case SIGINT:
+        return "SIGINT";
+    default:
+        return "none";
+    }
+}
+
 } // namespace
 
-Router::Router(EventLoop &loop, const RouterSettings &settings, std::string settingsFile)
+Router::Router(EventLoop &loop, ProcessSignals &signals, const RouterSettings &settings,
+               std::string settingsFile)
     : context_(loop, settings)
     , settingsFile_(std::move(settingsFile))
     , operatorKeys_(settings.operatorKeys)
-    , signals_(loop.io(), SIGTERM, SIGINT)
+    , signals_(signals)
 { }
 
-Result<std::unique_ptr<Router>> Router::create(EventLoop &loop, const RouterSettings &settings,
+Result<std::unique_ptr<Router>> Router::create(EventLoop &loop, ProcessSignals &signals,
+                                               const RouterSettings &settings,
                                                std::string settingsFile)
 {
-    std::unique_ptr<Router> router(new Router(loop, settings, std::move(settingsFile)));
+    std::unique_ptr<Router> router(new Router(loop, signals, settings, std::move(settingsFile)));
     BOOST_OUTCOME_TRY(router->buildClients());
     BOOST_OUTCOME_TRY(router->buildMembership());
     router->buildConfig();
@@ -94,7 +107,7 @@
     BOOST_OUTCOME_TRY(supervisor_, Supervisor::create("router", {}, context_.events.sink()));
     supervisor_->onFailure([this](const std::string &reason) {
         failure_ = reason;
-        signals_.cancel();
+        signals_.requestStop();
     });
     keyReloader_ =
         std::make_unique<KeyReloader>(settingsFile_, context_.settings, context_.events.sink());
@@ -102,8 +115,6 @@
         operatorKeys_.replace(settings.operatorKeys);
         return context_.keys->reload(peerKeys(settings), settings.peerKeys.sealWith);
     });
-    supervisor_->addChild("key-reload",
-                          [this](StopToken &stop) { keyReloader_->run(context_.loop.io(), stop); });
     supervisor_->addChild("probes",
                           [this](StopToken &stop) { context_.membership->runProbes(stop); });
     supervisor_->addChild("instance-list",
@@ -151,12 +162,13 @@
               {"operations", toString(operatorApi_->localEndpoint())},
               {"domain", settings.instance.domain},
               {"region", settings.instance.region}});
-    const auto signal = waitForSignal();
+    while (signals_.next() == ProcessSignals::Request::Reload)
+        keyReloader_->reloadAndReport();
     if (!failure_.empty()) {
         supervisor_->stop();
         return failure(ErrorKind::Internal, "supervisor failed: " + failure_);
     }
-    context_.record("shutdown-started", {{"signal", signal}});
+    context_.record("shutdown-started", {{"signal", stopSignalName(signals_.stopSignal())}});
     const auto interrupted = shutDown();
     logEvent(LogLevel::Info, "router-stopped", {{"interrupted", interrupted}});
     if (interrupted == 0)
@@ -165,15 +177,6 @@
                    std::to_string(interrupted) + " requests were still running at the deadline");
 }
 
-std::string Router::waitForSignal()
-{
-    boost::system::error_code error;
-    const int signal = signals_.async_wait(FiberToken{error});
-    if (error)
-        return "none";
-    return signal == SIGTERM ? "SIGTERM" : "SIGINT";
-}
-
 std::size_t Router::shutDown()
 {
     ShutdownDependencies hooks;
--- a/modules/jy_router/assembly/Router.h
+++ b/modules/jy_router/assembly/Router.h
@@ -5,10 +5,9 @@
 #include "jy_router/caller/CallerApi.h"
 #include "jy_router/operations/KeyReloader.h"
 #include "jy_router/operations/OperatorApi.h"
+#include "jy_runtime/program/ProcessSignals.h"
 #include "jy_runtime/supervision/Supervisor.h"
 
-#include <boost/asio/signal_set.hpp>
-
 #include <memory>
 #include <string>
 
@@ -24,10 +23,12 @@
     /**
      * Binds all listening addresses and builds the router; must run in a fiber of the loop.
      *
+     * @param signals must outlive the router
      * @param settingsFile read again for its keys on SIGHUP
      * @returns SettingsInvalid when a setting is unusable or an address cannot be bound
      */
-    static Result<std::unique_ptr<Router>> create(EventLoop &loop, const RouterSettings &settings,
+    static Result<std::unique_ptr<Router>> create(EventLoop &loop, ProcessSignals &signals,
+                                                  const RouterSettings &settings,
                                                   std::string settingsFile);
 
     /**
@@ -38,7 +39,8 @@
     Result<void> run();
 
 private:
-    Router(EventLoop &loop, const RouterSettings &settings, std::string settingsFile);
+    Router(EventLoop &loop, ProcessSignals &signals, const RouterSettings &settings,
+           std::string settingsFile);
 
     Result<void> buildClients();
     Result<void> buildMembership();
@@ -54,7 +56,6 @@
     void desiredStateChanged(const std::shared_ptr<const DesiredState> &state);
     void updateOwnership();
 
-    std::string waitForSignal();
     std::size_t shutDown();
     bool handOff(std::chrono::milliseconds timeout);
     void stop();
@@ -67,7 +68,7 @@
     std::unique_ptr<OperatorApi> operatorApi_;
     std::optional<PeerServer> peerServer_;
     std::unique_ptr<KeyReloader> keyReloader_;
-    boost::asio::signal_set signals_;
+    ProcessSignals &signals_;
     std::string failure_;
 
     // Last, so that its children end before what they use.
--- a/modules/jy_router/operations/KeyReloader.cpp
+++ b/modules/jy_router/operations/KeyReloader.cpp
@@ -1,13 +1,8 @@
 #include "jy_router/operations/KeyReloader.h"
 
-#include "jy_runtime/fibers/FiberToken.h"
 #include "jy_runtime/logging/Log.h"
 #include "jy_runtime/settings/Settings.h"
 
-#include <boost/asio/signal_set.hpp>
-
-#include <csignal>
-
 namespace jy {
 
 namespace {
@@ -52,23 +47,20 @@
     return success();
 }
 
-void KeyReloader::run(boost::asio::io_context &io, StopToken &token)
+void KeyReloader::reloadAndReport()
 {
-    boost::asio::signal_set signals(io, SIGHUP);
-    const auto cancel = token.onStop([&signals] { signals.cancel(); });
-    while (!token.stopRequested()) {
-        boost::system::error_code error;
-        signals.async_wait(FiberToken{error});
-        if (error || token.stopRequested())
-            continue;
-        const auto result = reload();
-        const auto reason = result ? std::string() : result.error().message;
-        logEvent(result ? LogLevel::Info : LogLevel::Error, "keys-reloaded",
-                 {{"file", file_}, {"ok", result.has_value()}, {"error", reason}});
-        if (events_) {
-            events_({.kind = "keys-reloaded",
-                     .fields = {{"ok", result ? "true" : "false"}, {"error", reason}}});
-        }
+    Result<void> result = success();
+    try {
+        result = reload();
+    } catch (const std::exception &problem) {
+        result = failure(ErrorKind::Internal, problem.what());
+    }
+    const auto reason = result ? std::string() : result.error().message;
+    logEvent(result ? LogLevel::Info : LogLevel::Error, "keys-reloaded",
+             {{"file", file_}, {"ok", result.has_value()}, {"error", reason}});
+    if (events_) {
+        events_({.kind = "keys-reloaded",
+                 .fields = {{"ok", result ? "true" : "false"}, {"error", reason}}});
     }
 }
 
--- a/modules/jy_router/operations/KeyReloader.h
+++ b/modules/jy_router/operations/KeyReloader.h
@@ -3,9 +3,6 @@
 #include "jy_base/errors/Error.h"
 #include "jy_runtime/events/Event.h"
 #include "jy_runtime/settings/RouterSettings.h"
-#include "jy_runtime/supervision/StopToken.h"
-
-#include <boost/asio/io_context.hpp>
 
 #include <functional>
 #include <string>
@@ -13,7 +10,7 @@
 namespace jy {
 
 /**
- * Replaces keys from the settings file on SIGHUP, without a restart.
+ * Replaces keys from the settings file without a restart.
  *
  * Only keys change. When the file has other changes, they are named in the log and take effect at
  * the next start. An invalid file changes nothing.
@@ -36,8 +33,8 @@
     /** Reads the file and calls the hooks. */
     Result<void> reload();
 
-    /** Body of a supervised fiber: reloads on each SIGHUP until a stop is requested. */
-    void run(boost::asio::io_context &io, StopToken &token);
+    /** Calls reload(); logs and records its result, also when a hook throws. */
+    void reloadAndReport();
 
 private:
     std::string file_;
--- a/programs/jygateway/main.cpp
+++ b/programs/jygateway/main.cpp
@@ -24,16 +24,16 @@
         ::fcntl(STDOUT_FILENO, F_SETFL, ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
 }
 
-ExitCode runGateway(const jy::GatewaySettings &settings, const std::string &settingsFile)
+ExitCode runGateway(jy::EventLoop &loop, jy::ProcessSignals &signals,
+                    const jy::GatewaySettings &settings, const std::string &settingsFile)
 {
     jy::setUpLogging(settings.instance.id.value(), settings.parsedLogLevel(),
                      jy::LogStream::StandardOutput);
     makeLogPipeNonBlocking();
-    jy::EventLoop loop;
     auto exitCode = ExitCode::Ok;
     loop.run([&] {
-        auto gateway =
-            jy::Gateway::create(loop, settings, settingsFile, jy::platform::createAdapter());
+        auto gateway = jy::Gateway::create(loop, signals, settings, settingsFile,
+                                           jy::platform::createAdapter());
         const auto result = gateway ? gateway.value()->run() : gateway.error();
         if (!result)
             exitCode = jy::reportStartError(result.error(), std::cerr);
@@ -48,6 +48,10 @@
 
 int main(int argc, char **argv)
 {
+    jy::EventLoop loop;
+    const auto signals = jy::ProcessSignals::create(loop);
+    if (!signals)
+        return static_cast<int>(jy::reportStartError(signals.error(), std::cerr));
     const jy::ProgramDescription program{
         .name = "jygateway",
         .summary =
@@ -60,6 +64,6 @@
         jy::loadProgramSettings<jy::GatewaySettings>(parsed, std::cout, std::cerr);
     if (const auto *exitCode = std::get_if<ExitCode>(&settings))
         return static_cast<int>(*exitCode);
-    return static_cast<int>(
-        runGateway(std::get<jy::GatewaySettings>(settings), parsed.settingsFile));
+    return static_cast<int>(runGateway(
+        loop, *signals.value(), std::get<jy::GatewaySettings>(settings), parsed.settingsFile));
 }
--- a/programs/jyrouter/main.cpp
+++ b/programs/jyrouter/main.cpp
@@ -7,13 +7,13 @@
 
 using jy::ExitCode;
 
-ExitCode runRouter(const jy::RouterSettings &settings, const std::string &settingsFile)
+ExitCode runRouter(jy::EventLoop &loop, jy::ProcessSignals &signals,
+                   const jy::RouterSettings &settings, const std::string &settingsFile)
 {
     jy::setUpLogging(settings.instance.id.value(), settings.parsedLogLevel());
-    jy::EventLoop loop;
     auto exitCode = ExitCode::Ok;
     loop.run([&] {
-        auto router = jy::Router::create(loop, settings, settingsFile);
+        auto router = jy::Router::create(loop, signals, settings, settingsFile);
         if (!router) {
             exitCode = jy::reportStartError(router.error(), std::cerr);
             return;
@@ -31,6 +31,10 @@
 
 int main(int argc, char **argv)
 {
+    jy::EventLoop loop;
+    const auto signals = jy::ProcessSignals::create(loop);
+    if (!signals)
+        return static_cast<int>(jy::reportStartError(signals.error(), std::cerr));
     const jy::ProgramDescription program{
         .name = "jyrouter",
         .summary =
@@ -42,5 +46,6 @@
     const auto settings = jy::loadProgramSettings<jy::RouterSettings>(parsed, std::cout, std::cerr);
     if (const auto *exitCode = std::get_if<ExitCode>(&settings))
         return static_cast<int>(*exitCode);
-    return static_cast<int>(runRouter(std::get<jy::RouterSettings>(settings), parsed.settingsFile));
+    return static_cast<int>(runRouter(loop, *signals.value(),
+                                      std::get<jy::RouterSettings>(settings), parsed.settingsFile));
 }
--- a/tests/integration/RouterTest.cpp
+++ b/tests/integration/RouterTest.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <csignal>
 #include <filesystem>
 
 using namespace std::chrono_literals;
@@ -78,6 +79,31 @@
     });
 }
 
+// Guards against signals that end a router at any moment between SIGTERM and its exit.
+TEST_F(RouterProcesses, SignalsDuringTheShutdownCutNoAnswer)
+{
+    // Less than the default of shutdownDeadlineMs; the watch of the configuration ends late.
+    static constexpr auto longestShutdown = 60s;
+    withFleet([](Fleet &fleet) {
+        fleet.start();
+        const auto summary = runLoad(fleet, [&] {
+            jy::EventLoop::sleepFor(2s);
+            auto &router = fleet.router(1);
+            router.terminate();
+            const auto ended = Fleet::waitUntil(
+                [&] {
+                    for (const int signal : {SIGHUP, SIGTERM, SIGINT})
+                        router.signal(signal);
+                    return !router.running();
+                },
+                longestShutdown);
+            EXPECT_TRUE(ended.has_value());
+            EXPECT_EQ(router.waitForExit(0s), 0);
+        });
+        expectTrueAnswers(fleet, summary);
+    });
+}
+
 // Guards against a router that serves without a configuration, or that ends, while the KV service
 // is down at its start.
 TEST_F(RouterProcesses, WaitsForTheKvServiceWhenItIsDownAtTheStart)
--- a/tests/jy_router/OperatorKeyReloadTest.cpp
+++ b/tests/jy_router/OperatorKeyReloadTest.cpp
@@ -73,25 +73,32 @@
     EXPECT_EQ(jy::changedSettings(running_, other), std::vector<std::string>{"instance"});
 }
 
-// Guards against a SIGHUP that ends the process or is lost, and a fiber that cannot be stopped.
+// Guards against a SIGHUP that ends the process or is lost, and a loop that cannot be stopped.
 TEST_F(OperatorKeyReload, ReloadsOnTheSignalUntilStopped)
 {
     write(settingsText("second-secret-of-ann", "r1"));
     jy::EventLoop loop;
+    const auto signals = jy::ProcessSignals::create(loop).value();
     loop.run([&] {
-        auto root = std::move(jy::Supervisor::create("root", {}, {})).value();
-        root->addChild("key-reload",
-                       [&](jy::StopToken &token) { reloader_.run(loop.io(), token); });
-        // Lets the fiber install its handler; without it, the signal would end the process.
-        jy::EventLoop::sleepFor(std::chrono::milliseconds(5));
         std::raise(SIGHUP);
-        for (int i = 0; i < 5000 && events_.size() == 0; ++i)
-            jy::EventLoop::sleepFor(std::chrono::milliseconds(1));
-        root->stop();
+        EXPECT_EQ(signals->next(), jy::ProcessSignals::Request::Reload);
+        reloader_.reloadAndReport();
+        signals->requestStop();
+        EXPECT_EQ(signals->next(), jy::ProcessSignals::Request::Stop);
     });
     ASSERT_EQ(events_.size(), 1U);
     EXPECT_EQ(*events_.since(0).events[0].field("ok"), "true");
     EXPECT_TRUE(accepts("second-secret-of-ann"));
 }
 
+// Guards against a failing hook that ends the process.
+TEST_F(OperatorKeyReload, ReportsAHookThatThrows)
+{
+    reloader_.addHook(
+        [](const jy::RouterSettings &) -> jy::Result<void> { throw std::runtime_error("no key"); });
+    reloader_.reloadAndReport();
+    ASSERT_EQ(events_.size(), 1U);
+    EXPECT_EQ(*events_.since(0).events[0].field("error"), "no key");
+}
+
 } // namespace
--- a/tests/platform/GatewayProcessTest.cpp
+++ b/tests/platform/GatewayProcessTest.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -140,6 +141,13 @@
         return response && response.value().status == 200;
     }
 
+    /** Whether an instance accepts connections. */
+    bool listens(const Instance &instance)
+    {
+        return client_->request(instance.addresses.readiness, {.target = "/"}, seconds(1))
+            .has_value();
+    }
+
     bool allReady()
     {
         return std::ranges::all_of(instances,
@@ -327,6 +335,69 @@
     });
 }
 
+struct SignalsInStopCase
+{
+    const char *name;
+
+    /** Sent one after the other, 300 ms apart. */
+    std::vector<int> signals;
+};
+
+struct SignalsInStopTest : testing::TestWithParam<SignalsInStopCase>
+{ };
+
+// Guards against signals that end a process which drains its requests after SIGTERM: all accepted
+// requests were cut.
+TEST_P(SignalsInStopTest, RunningRequestsAreAnswered)
+{
+    withFleet([](GatewayFleet &fleet) {
+        fleet.addBackend([](const HttpRequest &request, HttpResponder &out) {
+            EventLoop::sleepFor(milliseconds(1800));
+            out.send(200, GatewayFleet::seal(request), "done");
+        });
+        fleet.configure(1);
+        fleet.start(1);
+        ASSERT_TRUE(within(startBound, [&] { return fleet.allReady(); }));
+        auto &instance = fleet.instances[0];
+        constexpr std::size_t requests = 4;
+        std::vector<int> statuses;
+        for (std::size_t i = 0; i < requests; ++i)
+            EventLoop::spawn([&] { statuses.push_back(fleet.call(instance)); });
+        EventLoop::sleepFor(milliseconds(200));
+        for (const int signal : GetParam().signals) {
+            instance.process->signal(signal);
+            EventLoop::sleepFor(milliseconds(300));
+        }
+        EXPECT_EQ(instance.process->waitForExit(seconds(8)), 0);
+        EXPECT_TRUE(within(seconds(1), [&] { return statuses.size() == requests; }));
+        EXPECT_EQ(statuses, std::vector<int>(requests, 200));
+    });
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Signals, SignalsInStopTest,
+    testing::Values(SignalsInStopCase{"reload", {SIGTERM, SIGHUP}},
+                    SignalsInStopCase{"reload_before_and_after", {SIGHUP, SIGTERM, SIGHUP, SIGHUP}},
+                    SignalsInStopCase{"second_stop", {SIGTERM, SIGTERM}},
+                    SignalsInStopCase{"stop_in_two_ways", {SIGINT, SIGTERM, SIGINT}}),
+    [](const auto &testCase) { return testCase.param.name; });
+
+// Guards against a reload that ends a process which is not ready yet, or gets lost there.
+TEST(GatewayProcessTest, SignalsAtTheStartAreServed)
+{
+    withFleet([](GatewayFleet &fleet) {
+        fleet.configure(1);
+        auto &instance = fleet.startOne();
+        // From the first listener on, all signals have a handler.
+        ASSERT_TRUE(within(startBound, [&] { return fleet.listens(instance); }));
+        for (int i = 0; i < 20; ++i)
+            instance.process->signal(SIGHUP);
+        EXPECT_TRUE(within(startBound, [&] { return fleet.ready(instance); }));
+        instance.process->signal(SIGINT);
+        EXPECT_EQ(instance.process->waitForExit(seconds(8)), 0);
+    });
+}
+
 // Guards against requests that the end of a process cuts off without a response: one whose body is
 // complete late is refused, and one that still runs at the end gets a final response.
 TEST(GatewayProcessTest, ShutdownAnswersEveryRequest)
--- a/tests/soak/Faults.cpp
+++ b/tests/soak/Faults.cpp
@@ -2,6 +2,9 @@
 
 #include "platform/WireNames.h"
 
+#include <array>
+#include <csignal>
+
 namespace jy::soak {
 
 namespace {
@@ -154,17 +157,37 @@
     }
 }
 
+/** Sends signals to a process that is stopping; none of them may change how it ends. */
+void signalDuringShutdown(FaultDraw &draw, bench::ChildProcess &process)
+{
+    constexpr std::array signals{SIGHUP, SIGHUP, SIGTERM, SIGINT};
+    for (int left = draw.number(0, 3); left > 0; --left) {
+        EventLoop::sleepFor(draw.time(20, 1500));
+        process.signal(signals[static_cast<std::size_t>(draw.number(0, signals.size() - 1))]);
+    }
+}
+
 void terminateAndRestart(FaultDraw &draw, SoakGateway &gateway)
 {
     if (!gateway.running())
         return;
-    const DisturbanceScope disturbed(draw.fleet(), gateway.place().id, Origin::PlannedWork);
+    auto &fleet = draw.fleet();
+    const DisturbanceScope disturbed(fleet, gateway.place().id, Origin::PlannedWork);
+    // A process that has just been started may not handle signals yet.
+    const bool wasReady = fleet.ready(gateway);
     const auto process = gateway.process;
     gateway.ending = true;
     process->terminate();
+    signalDuringShutdown(draw, *process);
     const auto code = process->waitForExit(shutdownTimeout);
     if (!code)
         process->kill();
+    // Another series of faults may have killed it.
+    constexpr int killed = 128 + SIGKILL;
+    if (wasReady && code && *code != 0 && *code != killed)
+        fleet.ledger.note("ENDED",
+                          gateway.place().id + " ended with " + std::to_string(*code)
+                              + " during its shutdown");
     EventLoop::sleepFor(draw.time(50, 500));
     startAgain(draw, gateway);
     awaitReady(draw, gateway);
