End a response whose bytes are always ready at its deadline

Cause: RelayExchange gave each read the time left anew, and at least 1 ms. While bytes are ready, a read completes within it, so after the deadline every read began another millisecond.

Ruled out: an event loop that runs no timers (the same bytes to HttpClient::request(), whose reads share one deadline, ended in time on the code before), and empty events that count as progress.

Now HttpStream::readSome() takes the deadline of the body and compares it with the clock before each read; bytes that have arrived are read for at most 0.1 s after it. ChatStream of jyrouter reads error bodies by a deadline, too.

--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -314,7 +314,7 @@
     HttpResponse response{stream.status(), stream.headers(), {}};
     const auto released = absl::MakeCleanup([this] { bufferLease_.release(); });
     while (true) {
-        auto part = stream.readSome(remainingWait());
+        auto part = stream.readSome(deadline_);
         if (!part && part.error().kind == ErrorKind::BackendBroken)
             noteBroken(server, response.body.empty() ? BreakPoint::AfterHead : BreakPoint::InBody);
         if (!part)
@@ -367,7 +367,7 @@
             return callerLeft();
         if (total > maxResponseBytes)
             return fail({ErrorKind::BackendBroken, "the response is too long"}, server);
-        part = stream.readSome(remainingWait());
+        part = stream.readSome(deadline_);
         total += part ? part.value().size() : 0;
     }
     if (!part)
@@ -400,7 +400,7 @@
         silenceTimer_.start(relay_.settings_.resumeSilence, Clock::now());
     bool gotEvent = false;
     while (true) {
-        auto part = stream.readSome(remainingWait());
+        auto part = stream.readSome(deadline_);
         if (!part) {
             events_.dropRemainder();
             if (part.error().kind == ErrorKind::BackendBroken)
--- a/modules/jy_http/client/ClientExchange.cpp
+++ b/modules/jy_http/client/ClientExchange.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -26,6 +27,9 @@
 constexpr int maxSkippedResponses = 8;
 constexpr std::size_t maxSkippedBytes = 1024 * 1024;
 
+// A shorter wait would miss bytes that have already arrived.
+constexpr std::chrono::milliseconds shortestRead{1};
+
 // The server closes an idle connection at its timeout; a request sent shortly before could arrive
 // after that.
 constexpr std::chrono::seconds keepAliveMargin{1};
@@ -188,7 +192,13 @@
         return std::string();
     if (!connection_)
         return failure(ErrorKind::BackendBroken, "the response body is already broken");
-    const SocketDeadline limit(connection_->socket, deadline, SocketDeadline::Effect::Close);
+    const auto end = readLimit(deadline);
+    // While bytes are ready, a read completes before its timer, so the time is checked here.
+    if (end <= Clock::now()) {
+        connection_.reset();
+        return broken("response body of", {}, true);
+    }
+    const SocketDeadline limit(connection_->socket, end, SocketDeadline::Effect::Close);
     std::string part(readBytes, '\0');
     std::size_t size = 0;
     while (size == 0 && !parser_->is_done()) {
@@ -199,7 +209,9 @@
         http::async_read_some(connection_->socket, connection_->buffer, *parser_,
                               FiberToken{error});
         if (error && error != http::error::need_buffer) {
-            auto problem = broken("response body of", error, limit.expired());
+            // The timer of an earlier read may have closed the socket while that read completed.
+            const bool expired = limit.expired() || Clock::now() >= deadline;
+            auto problem = broken("response body of", error, expired);
             connection_.reset();
             return problem;
         }
@@ -211,6 +223,16 @@
     return part;
 }
 
+TimePoint HttpStream::Impl::readLimit(TimePoint deadline)
+{
+    const auto now = Clock::now();
+    if (now < deadline)
+        return deadline;
+    if (!lateReadEnd_)
+        lateReadEnd_ = now + lateReadTime;
+    return std::min(*lateReadEnd_, now + shortestRead);
+}
+
 void HttpStream::Impl::finish()
 {
     finished_ = true;
@@ -244,6 +266,11 @@
     return impl_->endsWithConnection();
 }
 
+Result<std::string> HttpStream::readSome(TimePoint deadline)
+{
+    return impl_->readSome(deadline);
+}
+
 Result<std::string> HttpStream::readSome(std::chrono::milliseconds timeout)
 {
     return impl_->readSome(Clock::now() + timeout);
--- a/modules/jy_http/client/ClientExchange.h
+++ b/modules/jy_http/client/ClientExchange.h
@@ -27,7 +27,7 @@
     /** Reads the response head. @param head the request's method is HEAD */
     Result<void> receiveHead(bool head, std::size_t maxHeadBytes, TimePoint deadline);
 
-    /** @returns a part of the body, empty at its end. */
+    /** @see HttpStream::readSome */
     Result<std::string> readSome(TimePoint deadline);
 
     int status() const { return status_; }
@@ -40,6 +40,9 @@
     Error broken(const char *step, boost::system::error_code error, bool expired) const;
     boost::system::error_code readHead(bool head, std::size_t maxHeadBytes);
     boost::system::error_code skipBody();
+
+    /** When the next read ends at the latest; in the past once no more may be read. */
+    TimePoint readLimit(TimePoint deadline);
     void finish();
 
     std::weak_ptr<ConnectionPool> pool_;
@@ -54,6 +57,9 @@
     bool resetOnClose_ = false;
     bool finished_ = false;
 
+    /** End of the reads after the deadline; set by the first of them. */
+    std::optional<TimePoint> lateReadEnd_;
+
     /** The whole request was written, so the connection can be reused. */
     bool requestSent_ = false;
 };
--- a/modules/jy_http/client/HttpStream.h
+++ b/modules/jy_http/client/HttpStream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jy_base/time/TimeTypes.h"
 #include "jy_http/messages/HttpMessage.h"
 
 #include <chrono>
@@ -30,12 +31,25 @@
      */
     bool endsWithConnection() const;
 
+    /** Time after a deadline in which bytes that have already arrived are still read. */
+    static constexpr std::chrono::milliseconds lateReadTime{100};
+
     /**
      * Suspends until a part of the body arrives.
      *
+     * After the deadline only bytes that have already arrived are read, so that a process that was
+     * paused meanwhile delivers what it has; this ends after lateReadTime, also if the server goes
+     * on sending.
+     *
+     * @param deadline of the whole body
      * @returns a part of at most 16 KB, empty at the end of the body; BackendBroken when the body
-     *          is truncated or malformed, DeadlineExceeded after @p timeout, Cancelled after a
-     *          cancellation
+     *          is truncated or malformed, DeadlineExceeded, Cancelled after a cancellation
+     */
+    Result<std::string> readSome(TimePoint deadline);
+
+    /**
+     * As above, with a time limit for this part only: it does not end a body whose parts keep
+     * arriving.
      */
     Result<std::string> readSome(std::chrono::milliseconds timeout);
 
--- a/modules/jy_platform/engine/ChatStream.cpp
+++ b/modules/jy_platform/engine/ChatStream.cpp
@@ -93,9 +93,10 @@
 
 Result<std::string> ChatStream::readErrorBody()
 {
+    const auto deadline = std::chrono::steady_clock::now() + settings_.controlTimeout;
     std::string body;
     while (body.size() < settings_.maxEventBytes) {
-        BOOST_OUTCOME_TRY(auto part, response_->readSome(settings_.controlTimeout));
+        BOOST_OUTCOME_TRY(auto part, response_->readSome(deadline));
         if (part.empty())
             break;
         body += part;
--- a/tests/jy_gateway/RelayResponseTest.cpp
+++ b/tests/jy_gateway/RelayResponseTest.cpp
@@ -55,6 +55,56 @@
                                          EndlessCase{"Event", RequestKind::Stream, true}),
                          [](const auto &info) { return std::string(info.param.name); });
 
+struct UnendingCase
+{
+    const char *name;
+    RequestKind kind;
+
+    /** Fields of the response head, and the bytes that follow without end. */
+    const char *fields;
+    const char *rest;
+    bool resumable = false;
+};
+
+struct UnendingResponseTest : testing::TestWithParam<UnendingCase>
+{ };
+
+// Guards against a response that outlasts the route's timeout because its bytes are always ready.
+TEST_P(UnendingResponseTest, EndsAtTheTimeoutOfTheRoute)
+{
+    withRelay([](RelayFixture &relay) {
+        constexpr milliseconds timeout{400};
+        // By the platform's rules, the caller has a final response by then.
+        constexpr milliseconds slack{500};
+        const auto &param = GetParam();
+        relay.configure({.kind = param.kind, .resumable = param.resumable, .timeout = timeout});
+        const EndlessServer backend("HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n"
+                                        + std::string(param.fields) + "\r\n",
+                                    param.rest);
+        relay.registerBackend(backend.endpoint());
+        const auto begin = std::chrono::steady_clock::now();
+        const auto received = relay.receive();
+        EXPECT_LT(std::chrono::steady_clock::now() - begin, timeout + slack);
+        EXPECT_FALSE(received.complete);
+    });
+}
+
+constexpr auto *eventsUntilClose = "Content-Type: text/event-stream\r\n";
+constexpr auto *eventsInChunks =
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n";
+constexpr auto *bodyInChunks = "Transfer-Encoding: chunked\r\n";
+INSTANTIATE_TEST_SUITE_P(
+    Responses, UnendingResponseTest,
+    testing::Values(
+        UnendingCase{"LineEnds", RequestKind::Stream, eventsUntilClose, "\n"},
+        UnendingCase{"LineEndsInChunks", RequestKind::Stream, eventsInChunks, "1\r\n\n\r\n"},
+        UnendingCase{"Events", RequestKind::Stream, eventsUntilClose, "id: 1\ndata: x\n\n"},
+        UnendingCase{"ResumableEvents", RequestKind::Stream, eventsUntilClose, "id: 1\ndata: x\n\n",
+                     true},
+        UnendingCase{"Comments", RequestKind::Stream, eventsUntilClose, ": x\n\n"},
+        UnendingCase{"PlainInChunks", RequestKind::Unsafe, bodyInChunks, "1\r\nx\r\n"}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 struct LongResponseCase
 {
     const char *name;
--- a/tests/jy_http/HttpClientTest.cpp
+++ b/tests/jy_http/HttpClientTest.cpp
@@ -185,6 +185,67 @@
         EndlessInput{"Body", "HTTP/1.1 200 OK\r\n\r\n", block}),
     [](const auto &info) { return info.param.name; });
 
+struct EndlessBodyCase
+{
+    const char *name;
+    const char *begin;
+    const char *rest;
+};
+
+struct EndlessBody : testing::TestWithParam<EndlessBodyCase>
+{ };
+
+// Guards against a body whose bytes are always ready and that is therefore read after its deadline.
+TEST_P(EndlessBody, EndsAtTheDeadline)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        const EndlessServer backend(GetParam().begin, GetParam().rest);
+        auto client = jy::HttpClient::create(loop, {.maxBodyBytes = 1024 * 1024 * 1024});
+        const auto begin = std::chrono::steady_clock::now();
+        const auto whole = client->request(backend.endpoint(), {}, 200ms);
+        EXPECT_LT(std::chrono::steady_clock::now() - begin, 700ms);
+        ASSERT_FALSE(whole);
+        EXPECT_EQ(whole.error().kind, K::DeadlineExceeded) << whole.error().message;
+        EXPECT_EQ(client->idleConnections(), 0U);
+    });
+}
+
+constexpr auto *untilClose = "HTTP/1.1 200 OK\r\n\r\n";
+constexpr auto *inChunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+INSTANTIATE_TEST_SUITE_P(Bodies, EndlessBody,
+                         testing::Values(EndlessBodyCase{"UntilClose", untilClose, "\n"},
+                                         EndlessBodyCase{"SmallChunks", inChunks, "1\r\nx\r\n"},
+                                         EndlessBodyCase{"ChunkExtensions", inChunks,
+                                                         "1;a=bcdefghijkl\r\nx\r\n"}),
+                         [](const auto &info) { return info.param.name; });
+
+// Guards against a response that is lost because the process was paused until after its deadline.
+TEST(HttpClient, BytesThatArrivedAreReadAfterTheDeadline)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        const std::string text(200'000, 'x');
+        const RawServer backend(loop, [&](tcp::socket &socket, int) {
+            RawServer::readHead(socket);
+            RawServer::write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + text);
+        });
+        auto client = jy::HttpClient::create(loop, clientSettings());
+        const auto deadline = std::chrono::steady_clock::now() + 100ms;
+        auto stream = client->open(backend.endpoint(), {}, 100ms);
+        ASSERT_TRUE(stream);
+        jy::EventLoop::sleepFor(50ms);
+        std::this_thread::sleep_for(200ms);
+        std::string body;
+        while (auto part = stream.value()->readSome(deadline)) {
+            body += part.value();
+            if (part.value().empty())
+                break;
+        }
+        EXPECT_EQ(body.size(), text.size());
+    });
+}
+
 // Guards against sending a request that became unwanted while its connection was being opened.
 TEST(HttpClient, ErrorBeforeSendingEndsTheExchangeUnsent)
 {
--- a/tests/jy_http/HttpTestServer.h
+++ b/tests/jy_http/HttpTestServer.h
@@ -8,8 +8,11 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <deque>
 #include <string>
 #include <string_view>
+#include <sys/socket.h>
+#include <thread>
 
 namespace jy::test {
 
@@ -115,6 +118,66 @@
     Endpoint endpoint_;
 };
 
+/**
+ * A server that answers each connection with the same bytes without end or pause. It runs in
+ * threads of its own, so that its bytes are always ready.
+ */
+class EndlessServer
+{
+public:
+    /** @param rest written again and again after @p begin until the client closes */
+    EndlessServer(std::string begin, std::string rest)
+        : begin_(std::move(begin))
+        , acceptor_(io_, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+    {
+        // One write of many pieces, as small writes would leave the client waiting.
+        constexpr std::size_t writeBytes = 64 * 1024;
+        while (block_.size() < writeBytes)
+            block_ += rest;
+        threads_.emplace_back([this] { acceptAll(); });
+    }
+
+    ~EndlessServer()
+    {
+        ::shutdown(acceptor_.native_handle(), SHUT_RD);
+        threads_.front().join();
+        for (std::size_t i = 1; i < threads_.size(); ++i)
+            threads_[i].join();
+    }
+
+    Endpoint endpoint() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+
+private:
+    void acceptAll()
+    {
+        boost::system::error_code error;
+        while (!error) {
+            auto socket = std::make_shared<tcp::socket>(io_);
+            acceptor_.accept(*socket, error);
+            if (!error)
+                threads_.emplace_back([this, socket] { serve(*socket); });
+        }
+    }
+
+    void serve(tcp::socket &socket) const
+    {
+        boost::system::error_code error;
+        std::array<char, 4096> request{};
+        socket.read_some(boost::asio::buffer(request), error);
+        boost::asio::write(socket, boost::asio::buffer(begin_), error);
+        while (!error)
+            boost::asio::write(socket, boost::asio::buffer(block_), error);
+    }
+
+    std::string begin_;
+    std::string block_;
+    boost::asio::io_context io_;
+    tcp::acceptor acceptor_;
+
+    /** The first one accepts; written by that one only until it has ended. */
+    std::deque<std::thread> threads_;
+};
+
 /** Waits until @p condition holds, at most 2 s. */
 inline bool eventually(const std::function<bool()> &condition)
 {
