Keep a silent attempt until another server has taken the request

What callers saw: a sound server paused for over a second; the instance closed its streams there and sent them on to a server that refused them.

Cause: whether a server takes a request shows with the head of its response, but the silent attempt was cancelled when the next one was reserved.

Ruled out: a wrong count of the other server's load (servers that break off, stay silent, refuse connections or respond unusably led to the same), and a refusal that ends a stream with attempts left (attempts=2 of 2).

Now the silent attempt goes on beside a second one, the successor. The successor takes over with the head of a usable response; if the silent server makes progress first, the successor is ended. What belongs to one attempt is in RelayAttempt.

--- a/modules/jy_gateway/relay/RelayEnding.cpp
+++ b/modules/jy_gateway/relay/RelayEnding.cpp
@@ -47,16 +47,20 @@
 {
     return {.repeatable = repeatable,
             .unsent = unsent,
-            .sentTo = sentTo_ + (awaitsHead_ ? 1 : 0),
+            .sentTo = sentTo_ + opening_,
             .maxAttempts = route_.maxAttempts,
             .serversTried = outcome_.attempts,
             .timeLeft = timeLeft()};
 }
 
+bool RelayExchange::mayRunAgain() const
+{
+    return (isResumable() && !unbufferedStarted_) || (route_.repeatable() && !responder_.started());
+}
+
 bool RelayExchange::mayTryAgain(Step step)
 {
-    const bool repeatable = step == Step::NotRun || (isResumable() && !unbufferedStarted_)
-        || (route_.repeatable() && !responder_.started());
+    const bool repeatable = step == Step::NotRun || mayRunAgain();
     const auto obstacle = retry_.reserve(retryState(step == Step::NotSent, repeatable), false);
     if (obstacle == RetryObstacle::BudgetSpent)
         logEvent(LogLevel::Warn, "retry-budget-spent",
@@ -64,28 +68,6 @@
     return obstacle == RetryObstacle::None;
 }
 
-bool RelayExchange::moveFromSilentServer(const ServerId &server)
-{
-    if (!attemptCancellation_ || attemptCancellation_->cancelled())
-        return false;
-    const auto obstacle = retry_.reserve(retryState(false, true), true);
-    moved_ = obstacle == RetryObstacle::None;
-    const auto now = Clock::now();
-    if ((moved_ || !std::exchange(keptLogged_, true)) && relay_.failedLines_.allow(now))
-        logEvent(LogLevel::Info, moved_ ? "attempt-moved" : "attempt-kept",
-                 {{"request", metadata_.id},
-                  {"server", server},
-                  {"attempt", outcome_.attempts},
-                  {"patience_ms", silenceTimeout_},
-                  {"waited_ms", now - attemptStart_},
-                  {"silent_ms", now - silenceTimer_.lastProgress()},
-                  {"time_left_ms", timeLeft()},
-                  {"obstacle", toString(obstacle)}});
-    if (moved_)
-        attemptCancellation_->cancel();
-    return obstacle == RetryObstacle::BudgetSpent || obstacle == RetryObstacle::NoServer;
-}
-
 void RelayExchange::refuse(const Placement &placement)
 {
     if (outcome_.attempts > 0) {
--- a/modules/jy_gateway/relay/RelayEvidence.cpp
+++ b/modules/jy_gateway/relay/RelayEvidence.cpp
@@ -19,9 +19,6 @@
 // A stream of fewer parts does not show the usual pause between its events.
 constexpr std::size_t minPartsForPause = 3;
 
-// Parts of a stream whose times are kept; their pauses show the speed of its server.
-constexpr std::size_t maxPartTimes = 24;
-
 } // namespace
 
 Placement RelayExchange::place()
@@ -48,11 +45,11 @@
     return placement;
 }
 
-void RelayExchange::noteBroken(const ServerId &server, BreakPoint point)
+void RelayExchange::noteBroken(const RelayAttempt &attempt, BreakPoint point)
 {
     const auto now = Clock::now();
     if (point != BreakPoint::InBody)
-        relay_.dependencies_.quarantine.connectionEnded(keys_, server,
+        relay_.dependencies_.quarantine.connectionEnded(keys_, attempt.server.id,
                                                         point == BreakPoint::AfterHead
                                                             ? CrashEvidence::ResponseBegun
                                                             : CrashEvidence::BeforeResponse,
@@ -62,17 +59,17 @@
     constexpr std::array names = {"before-head", "after-head", "in-body"};
     logEvent(LogLevel::Info, "attempt-broken",
              {{"request", metadata_.id},
-              {"server", server},
-              {"attempt", outcome_.attempts},
+              {"server", attempt.server.id},
+              {"attempt", attempt.number},
               {"point", names[static_cast<std::size_t>(point)]},
-              {"after_ms", now - attemptStart_},
+              {"after_ms", now - attempt.start},
               {"parts", absl::StrJoin(keys_.parts, ",")},
               {"content", keys_.request.value_or(0)}});
 }
 
-void RelayExchange::noteBegan(TimePoint time)
+void RelayExchange::noteBegan(RelayAttempt &attempt, TimePoint time)
 {
-    if (!std::exchange(began_, true) && relay_.dependencies_.attemptBegan)
+    if (!std::exchange(attempt.began, true) && relay_.dependencies_.attemptBegan)
         relay_.dependencies_.attemptBegan(workspace_, time);
 }
 
@@ -105,56 +102,49 @@
     }
 }
 
-void RelayExchange::recordCompleted(const ServerId &server)
+void RelayExchange::recordCompleted(RelayAttempt &attempt)
 {
-    record(server, ServerOutcome::Succeeded);
-    recordForRollout(true);
+    record(attempt, ServerOutcome::Succeeded);
+    recordForRollout(attempt, true);
     relay_.dependencies_.quarantine.responseCompleted(keys_, Clock::now());
 }
 
-void RelayExchange::beginSample(const ServerState &server)
+bool RelayExchange::promptCachedAt(const ServerState &server) const
 {
-    attemptServer_ = server.entry;
-    promptCached_ = query_.affinity == 0
+    return query_.affinity == 0
         || std::ranges::any_of(query_.holders, [&](const PromptCacheLocation &holder) {
-                        return holder.server == server.entry.id && holder.lastUsed >= server.since;
-                    });
-    partTimes_.clear();
-}
-
-void RelayExchange::notePart(TimePoint received)
-{
-    if (partTimes_.size() < maxPartTimes)
-        partTimes_.push_back(received);
+               return holder.server == server.entry.id && holder.lastUsed >= server.since;
+           });
 }
 
-void RelayExchange::recordForRollout(bool ok)
+void RelayExchange::recordForRollout(const RelayAttempt &attempt, bool ok)
 {
     using std::chrono::microseconds;
     RolloutSample sample{.route = route_.name, .ok = ok, .target = route_.latencyTarget};
-    if (promptCached_) {
-        const auto first = partTimes_.empty() ? Clock::now() : partTimes_.front();
-        sample.first = std::chrono::duration_cast<microseconds>(first - attemptStart_);
+    const auto &parts = attempt.partTimes;
+    if (attempt.promptCached) {
+        const auto first = parts.empty() ? Clock::now() : parts.front();
+        sample.first = std::chrono::duration_cast<microseconds>(first - attempt.start);
     }
-    if (partTimes_.size() >= minPartsForPause) {
+    if (parts.size() >= minPartsForPause) {
         std::vector<Duration> pauses;
-        for (std::size_t i = 1; i < partTimes_.size(); ++i)
-            pauses.push_back(partTimes_[i] - partTimes_[i - 1]);
+        for (std::size_t i = 1; i < parts.size(); ++i)
+            pauses.push_back(parts[i] - parts[i - 1]);
         const auto middle = pauses.begin() + static_cast<std::ptrdiff_t>((pauses.size() - 1) / 2);
         std::ranges::nth_element(pauses, middle);
         sample.pause = std::chrono::duration_cast<microseconds>(*middle);
     }
-    relay_.dependencies_.rollouts.record(attemptServer_, sample);
+    relay_.dependencies_.rollouts.record(attempt.server, sample);
 }
 
-void RelayExchange::recordWait()
+void RelayExchange::recordWait(const RelayAttempt &attempt)
 {
-    relay_.waits_.add(route_.name, std::chrono::ceil<milliseconds>(Clock::now() - attemptStart_));
+    relay_.waits_.add(route_.name, std::chrono::ceil<milliseconds>(Clock::now() - attempt.start));
 }
 
-void RelayExchange::record(const ServerId &server, ServerOutcome outcome)
+void RelayExchange::record(const RelayAttempt &attempt, ServerOutcome outcome)
 {
-    relay_.dependencies_.health.record(server, outcome, Clock::now());
+    relay_.dependencies_.health.record(attempt.placement.server, outcome, Clock::now());
 }
 
 } // namespace jy
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -33,12 +33,8 @@
 // Events are usually a few hundred bytes; a longer one is treated as malformed.
 constexpr std::size_t maxEventBytes = 256 * 1024;
 
-// Whether no byte of the request reached the server.
-bool isUnsent(ErrorKind kind)
-{
-    return kind == ErrorKind::ConnectFailed || kind == ErrorKind::ServerLeaving
-        || kind == ErrorKind::Overloaded;
-}
+// Parts of a stream whose times are kept; their pauses show the speed of its server.
+constexpr std::size_t maxPartTimes = 24;
 
 } // namespace
 
@@ -59,8 +55,7 @@
                 + std::min(metadata.callerTimeout.value_or(defaultCallerTimeout), route.timeout))
     , bufferLease_(relay.dependencies_.bodyBudget)
     , retry_(retryHooks())
-    , silenceTimer_(relay.dependencies_.loop.io(),
-                    [this] { return moveFromSilentServer(outcome_.server); })
+    , silenceTimer_(relay.dependencies_.loop.io(), [this] { return startSuccessor(); })
 {
     query_.service = pickService(route, relay.draw());
     keys_ = keysOf(request, metadata.prompt);
@@ -88,104 +83,134 @@
         return outcome_;
     }
     relay_.dependencies_.loads.requestStarted(placement.server);
+    const auto ended = absl::MakeCleanup([this] {
+        dropSuccessor();
+        awaitSuccessorFibers();
+    });
+    current_ = makeAttempt(std::move(placement));
     while (true) {
-        const auto step = attempt(placement);
+        const auto step = follow(*current_);
         if (step == Step::Done)
             break;
         if (responder_.callerGone()) {
             outcome_.reason = "caller-gone";
             break;
         }
+        if (successor_) {
+            current_ = std::exchange(successor_, nullptr);
+            continue;
+        }
         if (!mayTryAgain(step)) {
             giveUp();
             break;
         }
-        placement = retry_.take();
+        current_ = makeAttempt(retry_.take());
     }
     return outcome_;
 }
 
-RelayExchange::Step RelayExchange::attempt(const Placement &placement)
+std::shared_ptr<RelayAttempt> RelayExchange::makeAttempt(Placement placement)
+{
+    auto attempt = std::make_shared<RelayAttempt>();
+    attempt->placement = std::move(placement);
+    attempt->start = Clock::now();
+    attempt->retryGranted = retryGranted_;
+    attempt->cancellation = Cancellation::create();
+    attempt->callerLeaves = responder_.cancellation()->onCancel(
+        [cancellation = attempt->cancellation] { cancellation->cancel(); });
+    return attempt;
+}
+
+void RelayExchange::open(RelayAttempt &attempt)
 {
     auto &dependencies = relay_.dependencies_;
-    responseStarted_ = false;
-    const auto counted = absl::MakeCleanup(
-        [&] { dependencies.loads.requestFinished(placement.server, responseStarted_); });
-    const auto *server = dependencies.fleet.findServer(placement.server);
-    if (!server)
-        return Step::NotSent;
-    // A copy: the entry may be removed while this fiber is suspended.
-    const auto registered = server->entry;
-    const auto outgoingRequest = outgoing(*server, placement.copySource);
-    beginSample(*server);
-    query_.tried.insert(registered.id);
-    outcome_.server = registered.id;
-    outcome_.placement = placement.reason;
-    outcome_.load = placement.load;
-    outcome_.copySource = placement.copySource;
-    ++outcome_.attempts;
+    attempt.number = ++outcome_.attempts;
+    const auto *server = dependencies.fleet.findServer(attempt.placement.server);
+    if (!server) {
+        attempt.opened.emplace(failure(ErrorKind::ServerLeaving, "the server has left"));
+        return;
+    }
+    attempt.server = server->entry;
+    attempt.promptCached = promptCachedAt(*server);
+    query_.tried.insert(attempt.server.id);
+    const auto outgoingRequest = outgoing(*server, attempt.placement.copySource);
     logEvent(LogLevel::Debug, "attempt",
              {{"request", metadata_.id},
-              {"server", registered.id},
-              {"reason", toString(placement.reason)},
-              {"load", placement.load},
-              {"copy_from", placement.copySource},
-              {"candidates", placement.candidates},
+              {"server", attempt.server.id},
+              {"reason", toString(attempt.placement.reason)},
+              {"load", attempt.placement.load},
+              {"copy_from", attempt.placement.copySource},
+              {"candidates", attempt.placement.candidates},
               {"time_left_ms", timeLeft()}});
-    // Triggered when the caller disconnects, or when the request moves to another server.
-    const auto cancellation = Cancellation::create();
-    const auto registration =
-        responder_.cancellation()->onCancel([cancellation] { cancellation->cancel(); });
-    beginWatch(registered.id, cancellation);
-    const auto watched = absl::MakeCleanup([&] {
+    watch(attempt);
+    ++opening_;
+    attempt.opened.emplace(dependencies.client.open(attempt.server.endpoint, outgoingRequest,
+                                                    remainingWait(), callOptions(attempt)));
+    --opening_;
+    sentTo_ += attempt.reachedServer() ? 1 : 0;
+}
+
+RelayExchange::Step RelayExchange::follow(RelayAttempt &attempt)
+{
+    const auto ended = absl::MakeCleanup([&] {
         silenceTimer_.stop();
-        attemptCancellation_.reset();
-        dependencies.stalls.requestEnded(registered.id, watch_);
+        end(attempt);
     });
-    began_ = false;
-    auto opened = dependencies.client.open(registered.endpoint, outgoingRequest, remainingWait(),
-                                           callOptions(registered.id, cancellation));
-    awaitsHead_ = false;
-    if (opened || !isUnsent(opened.error().kind))
-        ++sentTo_;
-    if (opened)
-        return relayResponse(*opened.value(), registered);
-    if (opened.error().kind == ErrorKind::BackendBroken)
-        noteBroken(registered.id, BreakPoint::BeforeHead);
-    return fail(opened.error(), registered.id);
+    outcome_.server = attempt.placement.server;
+    outcome_.placement = attempt.placement.reason;
+    outcome_.load = attempt.placement.load;
+    outcome_.copySource = attempt.placement.copySource;
+    if (route_.repeatable())
+        silenceTimer_.start(headPatience(), attempt.start);
+    if (attempt.ownFiber)
+        awaitOpened(attempt);
+    else
+        open(attempt);
+    if (*attempt.opened && !attempt.replaced)
+        return relayResponse(attempt, *attempt.opened->value());
+    const auto error = attempt.replaced
+        ? Error{ErrorKind::Cancelled, "another server has responded", {}}
+        : attempt.opened->error();
+    if (error.kind == ErrorKind::BackendBroken)
+        noteBroken(attempt, BreakPoint::BeforeHead);
+    return fail(attempt, error);
+}
+
+void RelayExchange::end(RelayAttempt &attempt)
+{
+    auto &dependencies = relay_.dependencies_;
+    dependencies.loads.requestFinished(attempt.placement.server, attempt.responseStarted);
+    if (attempt.watch != 0)
+        dependencies.stalls.requestEnded(attempt.server.id, attempt.watch);
+    attempt.opened.reset();
 }
 
-void RelayExchange::beginWatch(const ServerId &server,
-                               const std::shared_ptr<Cancellation> &cancellation)
+void RelayExchange::watch(RelayAttempt &attempt)
 {
-    moved_ = false;
-    keptLogged_ = false;
-    awaitsHead_ = true;
-    attemptStart_ = Clock::now();
     std::function<void()> onStall;
-    if (route_.repeatable()) {
-        attemptCancellation_ = cancellation;
-        onStall = [this, server] { moveFromSilentServer(server); };
-        silenceTimer_.start(headPatience(), attemptStart_);
-    }
-    silenceTimeout_ = relay_.waits_.silenceTimeout(route_.name, route_.latencyTarget);
-    watch_ = relay_.dependencies_.stalls.requestSent(server, silenceTimeout_, attemptStart_,
-                                                     std::move(onStall));
+    if (route_.repeatable())
+        onStall = [this, &attempt] {
+            if (current_.get() == &attempt)
+                startSuccessor();
+        };
+    attempt.silenceTimeout = relay_.waits_.silenceTimeout(route_.name, route_.latencyTarget);
+    attempt.watch = relay_.dependencies_.stalls.requestSent(
+        attempt.server.id, attempt.silenceTimeout, attempt.start, std::move(onStall));
 }
 
-HttpCallOptions RelayExchange::callOptions(const ServerId &server,
-                                           const std::shared_ptr<Cancellation> &cancellation)
+HttpCallOptions RelayExchange::callOptions(RelayAttempt &attempt)
 {
     HttpCallOptions options;
-    options.cancellation = cancellation;
+    options.cancellation = attempt.cancellation;
     options.keepHost = true;
     options.isOwnResponse = [this](int status, const HttpHeaders &headers) {
         const auto response = relay_.dependencies_.protocol.readResponseMetadata(status, headers);
         return response.requestId.empty() || response.requestId == metadata_.id.value();
     };
-    options.beforeSend = [this, server] {
-        sentAt_ = Clock::now();
-        return mayStillSend(server);
+    options.beforeSend = [this, &attempt]() -> Result<void> {
+        BOOST_OUTCOME_TRYV2(auto &&, mayStillSend(attempt.server.id));
+        attempt.sentAt = Clock::now();
+        return success();
     };
     return options;
 }
@@ -222,121 +247,123 @@
     return success();
 }
 
-RelayExchange::Step RelayExchange::fail(const Error &error, const ServerId &server)
+RelayExchange::Step RelayExchange::fail(RelayAttempt &attempt, const Error &error)
 {
     lastError_ = error;
+    const auto waited = Clock::now() - attempt.start;
     switch (error.kind) {
     case ErrorKind::Cancelled:
-        if (moved_ && !responder_.callerGone()) {
-            const auto now = Clock::now();
-            const auto waited = now - attemptStart_;
+        if (attempt.replaced && !responder_.callerGone()) {
             // Recorded here because the server may have no other request left that would time out.
             // A wait that is usual for the route is not the server's fault.
-            if (waited > silenceTimeout_ || relay_.dependencies_.stalls.isStalled(server, now))
-                record(server, ServerOutcome::TimedOut);
-            recordForRollout(false);
-            if (!responseStarted_ && waited >= headPatience())
-                recordWait();
+            if (waited > attempt.silenceTimeout
+                || relay_.dependencies_.stalls.isStalled(attempt.server.id, Clock::now()))
+                record(attempt, ServerOutcome::TimedOut);
+            recordForRollout(attempt, false);
+            if (!attempt.responseStarted && waited >= headPatience())
+                recordWait(attempt);
             mayHaveRun_ = true;
             lastError_ = {ErrorKind::DeadlineExceeded, "the backend server is silent", {}};
             return Step::MayHaveRun;
         }
         // A caller that leaves a silent server shows the same as a timeout.
-        if (!responseStarted_ && Clock::now() - attemptStart_ > silenceTimeout_)
-            recordForRollout(false);
+        if (!attempt.responseStarted && waited > attempt.silenceTimeout)
+            recordForRollout(attempt, false);
         outcome_.reason = "caller-gone";
         return Step::Done;
     case ErrorKind::ConnectFailed:
-        record(server, ServerOutcome::Unreachable);
+        record(attempt, ServerOutcome::Unreachable);
         return Step::NotSent;
     case ErrorKind::ServerLeaving:
     case ErrorKind::Overloaded:
         return Step::NotSent;
     case ErrorKind::DeadlineExceeded:
-        recordForRollout(false);
+        recordForRollout(attempt, false);
         // A wait that is usual for the route is not the server's fault.
-        if (Clock::now() - attemptStart_ > silenceTimeout_)
-            record(server, ServerOutcome::TimedOut);
-        if (!responseStarted_)
-            recordWait();
+        if (waited > attempt.silenceTimeout)
+            record(attempt, ServerOutcome::TimedOut);
+        if (!attempt.responseStarted)
+            recordWait(attempt);
         mayHaveRun_ = true;
         return Step::MayHaveRun;
     default:
         // The response was lost, so the server has most likely begun to run the request.
-        noteBegan(sentAt_);
-        record(server, ServerOutcome::Failed);
-        recordForRollout(false);
+        noteBegan(attempt, attempt.sentAt);
+        record(attempt, ServerOutcome::Failed);
+        recordForRollout(attempt, false);
         mayHaveRun_ = true;
         return Step::MayHaveRun;
     }
 }
 
-RelayExchange::Step RelayExchange::relayResponse(HttpStream &stream,
-                                                 const RegisteredServer &registered)
+std::optional<RelayExchange::Step> RelayExchange::evaluateHead(RelayAttempt &attempt,
+                                                               const HttpStream &stream)
 {
     const auto metadata =
         relay_.dependencies_.protocol.readResponseMetadata(stream.status(), stream.headers());
-    relay_.dependencies_.stalls.dataReceived(registered.id, watch_, route_.pauseTarget,
+    relay_.dependencies_.stalls.dataReceived(attempt.server.id, attempt.watch, route_.pauseTarget,
                                              Clock::now());
-    silenceTimer_.stop();
-    recordWait();
-    applyServerState(metadata, registered);
-    const auto &server = registered.id;
-    const auto responseClass = classifyResponse(stream.status(), metadata, metadata_.id);
+    recordWait(attempt);
+    applyServerState(metadata, attempt.server);
+    attempt.eventStream = stream.status() / 100 == 2 && metadata.eventStream;
+    attempt.responseClass = classifyResponse(stream.status(), metadata, metadata_.id);
     // A stream runs from its first token on, everything else once it was sent.
-    if (responseClass != ResponseClass::NotRun && !metadata.eventStream)
-        noteBegan(sentAt_);
-    switch (responseClass) {
-    case ResponseClass::NotRun:
+    if (attempt.responseClass != ResponseClass::NotRun && !metadata.eventStream)
+        noteBegan(attempt, attempt.sentAt);
+    const auto status = "status " + std::to_string(stream.status());
+    if (attempt.responseClass == ResponseClass::NotRun) {
         lastError_ = {ErrorKind::NoCapacity, "the backend server refused the request",
                       retryAfter(PlacementReason::AllFull)};
-        record(server, ServerOutcome::Failed);
+        record(attempt, ServerOutcome::Failed);
         return Step::NotRun;
-    case ResponseClass::Unusable:
-        return fail({ErrorKind::BackendBroken,
-                     "unusable response with status " + std::to_string(stream.status())},
-                    server);
-    case ResponseClass::Failed:
-    case ResponseClass::Deliver:
-        break;
     }
-    if (stream.status() / 100 == 2 && metadata.eventStream)
-        return relayEvents(stream, server);
-    if (responder_.started())
-        return fail({ErrorKind::BackendBroken,
-                     "status " + std::to_string(stream.status()) + " does not continue the stream"},
-                    server);
-    return relayBuffered(stream, server);
+    if (attempt.responseClass == ResponseClass::Unusable)
+        return fail(attempt, {ErrorKind::BackendBroken, "unusable response with " + status});
+    if (responder_.started() && !attempt.eventStream)
+        return fail(attempt, {ErrorKind::BackendBroken, status + " does not continue the stream"});
+    return std::nullopt;
 }
 
-RelayExchange::Step RelayExchange::relayBuffered(HttpStream &stream, const ServerId &server)
+RelayExchange::Step RelayExchange::relayResponse(RelayAttempt &attempt, HttpStream &stream)
+{
+    silenceTimer_.stop();
+    if (!attempt.responseClass) {
+        if (const auto step = evaluateHead(attempt, stream))
+            return *step;
+    }
+    if (attempt.responseClass == ResponseClass::Deliver)
+        dropSuccessor();
+    return attempt.eventStream ? relayEvents(attempt, stream) : relayBuffered(attempt, stream);
+}
+
+RelayExchange::Step RelayExchange::relayBuffered(RelayAttempt &attempt, HttpStream &stream)
 {
     HttpResponse response{stream.status(), stream.headers(), {}};
     const auto released = absl::MakeCleanup([this] { bufferLease_.release(); });
     while (true) {
         auto part = stream.readSome(deadline_);
         if (!part && part.error().kind == ErrorKind::BackendBroken)
-            noteBroken(server, response.body.empty() ? BreakPoint::AfterHead : BreakPoint::InBody);
+            noteBroken(attempt, response.body.empty() ? BreakPoint::AfterHead : BreakPoint::InBody);
         if (!part)
-            return fail(part.error(), server);
+            return fail(attempt, part.error());
         if (part.value().empty())
-            return finishBuffered(std::move(response), server);
+            return finishBuffered(attempt, std::move(response));
         response.body += part.value();
         if (response.body.size() > maxBufferedResponseBytes
             || !bufferLease_.resize(response.body.size()))
-            return relayUnbuffered(stream, server, std::move(response.body));
+            return relayUnbuffered(attempt, stream, std::move(response.body));
     }
 }
 
-RelayExchange::Step RelayExchange::finishBuffered(HttpResponse response, const ServerId &server)
+RelayExchange::Step RelayExchange::finishBuffered(RelayAttempt &attempt, HttpResponse response)
 {
     const bool failed = response.status >= 500;
     outcome_.firstPart = Clock::now() - start_;
     if (response.status / 100 == 2)
-        recordCompleted(server);
+        recordCompleted(attempt);
     else {
-        record(server, failed ? ServerOutcome::Failed : ServerOutcome::Succeeded);
-        recordForRollout(!failed);
+        record(attempt, failed ? ServerOutcome::Failed : ServerOutcome::Succeeded);
+        recordForRollout(attempt, !failed);
     }
     if (failed && route_.repeatable()) {
         mayHaveRun_ = true;
@@ -350,12 +377,12 @@
     return Step::Done;
 }
 
-RelayExchange::Step RelayExchange::relayUnbuffered(HttpStream &stream, const ServerId &server,
+RelayExchange::Step RelayExchange::relayUnbuffered(RelayAttempt &attempt, HttpStream &stream,
                                                    std::string begin)
 {
     // An error response is delivered only whole, and only if no other server succeeds.
     if (stream.status() >= 500)
-        return fail({ErrorKind::BackendBroken, "the error response is too long"}, server);
+        return fail(attempt, {ErrorKind::BackendBroken, "the error response is too long"});
     mayHaveRun_ = true;
     unbufferedStarted_ = true;
     std::size_t total = begin.size();
@@ -366,13 +393,13 @@
         if (!responder_.write(part.value()))
             return callerLeft();
         if (total > maxResponseBytes)
-            return fail({ErrorKind::BackendBroken, "the response is too long"}, server);
+            return fail(attempt, {ErrorKind::BackendBroken, "the response is too long"});
         part = stream.readSome(deadline_);
         total += part ? part.value().size() : 0;
     }
     if (!part)
-        return fail(part.error(), server);
-    recordCompleted(server);
+        return fail(attempt, part.error());
+    recordCompleted(attempt);
     responder_.endStream();
     outcome_.reason = "answered";
     return Step::Done;
@@ -392,7 +419,7 @@
     return responder_.startStream(stream.status(), stream.headers());
 }
 
-RelayExchange::Step RelayExchange::relayEvents(HttpStream &stream, const ServerId &server)
+RelayExchange::Step RelayExchange::relayEvents(RelayAttempt &attempt, HttpStream &stream)
 {
     mayHaveRun_ = true;
     // Progress is measured in events, as a stalled server may still send single bytes.
@@ -401,59 +428,78 @@
     bool gotEvent = false;
     while (true) {
         auto part = stream.readSome(deadline_);
+        // The successor continues after the last event passed on, so a part that arrived at the
+        // same time is dropped.
+        if (part && !part.value().empty() && attempt.replaced)
+            part = failure(ErrorKind::Cancelled, "another server continues the stream");
         if (!part) {
             events_.dropRemainder();
             if (part.error().kind == ErrorKind::BackendBroken)
-                noteBroken(server, gotEvent ? BreakPoint::InBody : BreakPoint::AfterHead);
-            return fail(part.error(), server);
+                noteBroken(attempt, gotEvent ? BreakPoint::InBody : BreakPoint::AfterHead);
+            return fail(attempt, part.error());
         }
         if (part.value().empty())
             break;
-        const auto received = Clock::now();
-        relay_.dependencies_.stalls.dataReceived(server, watch_, route_.pauseTarget, received);
-        if (outcome_.firstPart.count() == 0)
-            outcome_.firstPart = received - start_;
-        else
-            outcome_.longestPause = std::max(outcome_.longestPause, received - lastPart_);
-        lastPart_ = received;
-        notePart(received);
-        if (!responseStarted_) {
-            responseStarted_ = true;
-            noteBegan(received);
-            relay_.dependencies_.loads.responseStarted(server);
-            if (query_.affinity != 0)
-                relay_.dependencies_.prompts.addFromResponse(query_.affinity, query_.sharedTokens,
-                                                             server, received);
-        }
+        notePart(attempt, Clock::now());
         const auto events = events_.add(part.value());
         if (events_.madeProgress()) {
             silenceTimer_.progress(Clock::now());
+            dropSuccessor();
             gotEvent = true;
         }
         if (events_.remainder() > maxEventBytes || !bufferLease_.resize(events_.remainder())) {
             events_.dropRemainder();
-            return fail({ErrorKind::BackendBroken, "an event is too long to buffer"}, server);
+            return fail(attempt, {ErrorKind::BackendBroken, "an event is too long to buffer"});
         }
-        if (events.empty())
-            continue;
-        if (!startResponse(stream) || !responder_.write(events))
+        if (!events.empty() && !passOn(stream, events))
             return callerLeft();
     }
     if (events_.hasRemainder()) {
         events_.dropRemainder();
-        return fail({ErrorKind::BackendBroken, "the stream ended within an event"}, server);
+        return fail(attempt, {ErrorKind::BackendBroken, "the stream ended within an event"});
     }
     if (!gotEvent && !responder_.started() && stream.endsWithConnection()) {
-        noteBroken(server, BreakPoint::AfterHead);
-        return fail({ErrorKind::BackendBroken, "the stream ended before its first event"}, server);
+        noteBroken(attempt, BreakPoint::AfterHead);
+        return fail(attempt, {ErrorKind::BackendBroken, "the stream ended before its first event"});
     }
-    recordCompleted(server);
+    recordCompleted(attempt);
     if (startResponse(stream))
         responder_.endStream();
     outcome_.reason = "answered";
     return Step::Done;
 }
 
+void RelayExchange::notePart(RelayAttempt &attempt, TimePoint received)
+{
+    const auto &server = attempt.server.id;
+    relay_.dependencies_.stalls.dataReceived(server, attempt.watch, route_.pauseTarget, received);
+    if (outcome_.firstPart.count() == 0)
+        outcome_.firstPart = received - start_;
+    else
+        outcome_.longestPause = std::max(outcome_.longestPause, received - lastPart_);
+    lastPart_ = received;
+    if (attempt.partTimes.size() < maxPartTimes)
+        attempt.partTimes.push_back(received);
+    if (std::exchange(attempt.responseStarted, true))
+        return;
+    noteBegan(attempt, received);
+    relay_.dependencies_.loads.responseStarted(server);
+    if (query_.affinity != 0)
+        relay_.dependencies_.prompts.addFromResponse(query_.affinity, query_.sharedTokens, server,
+                                                     received);
+}
+
+bool RelayExchange::passOn(const HttpStream &stream, const std::string &events)
+{
+    writing_ = true;
+    const bool written = startResponse(stream) && responder_.write(events);
+    writing_ = false;
+    // The server was not read from while the caller was slow.
+    if (events_.madeProgress())
+        silenceTimer_.progress(Clock::now());
+    return written;
+}
+
 Duration RelayExchange::timeLeft() const
 {
     return deadline_ - Clock::now();
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -2,15 +2,25 @@
 
 #include "jy_gateway/placement/PromptAffinity.h"
 #include "jy_gateway/relay/EventSplitter.h"
+#include "jy_gateway/relay/RelayAttempt.h"
 #include "jy_gateway/relay/RequestRelay.h"
 #include "jy_gateway/relay/RetryReservation.h"
 #include "jy_gateway/relay/SilenceTimer.h"
 
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+
 #include <optional>
 
 namespace jy {
 
-/** Relays one request, including its retries. Internal to RequestRelay. */
+/**
+ * Relays one request, including its retries. Internal to RequestRelay.
+ *
+ * A server that is silent may still respond. Its attempt goes on while a second one, the successor,
+ * is opened at another server. The successor takes over with the head of a usable response; if the
+ * silent server makes progress before, the successor is dropped.
+ */
 class RelayExchange
 {
 public:
@@ -34,23 +44,57 @@
         MayHaveRun, /**< may be retried only if the route's requests are repeatable */
     };
 
-    Step attempt(const Placement &placement);
+    std::shared_ptr<RelayAttempt> makeAttempt(Placement placement);
+
+    /** Sends the request and waits for the head of the response. */
+    void open(RelayAttempt &attempt);
+
+    /** Relays the response of the current attempt, which it opens first unless a fiber does. */
+    Step follow(RelayAttempt &attempt);
+
+    /** Gives back the place of an attempt and closes its connection. */
+    void end(RelayAttempt &attempt);
+
+    /** Registers an attempt with the stall detector. */
+    void watch(RelayAttempt &attempt);
 
-    /** Registers the current attempt with the stall detector.
+    /**
+     * Starts an attempt at another server beside the current one, which is silent, if one can be
+     * reserved and none is under way. Must not suspend.
      *
-     * @param cancellation ends the attempt of a repeatable request that moves to another server
+     * @returns whether to call again if the silence lasts
      */
-    void beginWatch(const ServerId &server, const std::shared_ptr<Cancellation> &cancellation);
+    bool startSuccessor();
+
+    /** Lets the opened successor take over, or records why it cannot. */
+    void successorOpened(const std::shared_ptr<RelayAttempt> &attempt);
+
+    /** Ends the successor, because the current attempt has made progress. */
+    void dropSuccessor();
+
+    /** Suspends until the head of the response has arrived or the attempt has failed before. */
+    void awaitOpened(const RelayAttempt &attempt);
+
+    /** Logs how long the current server is silent and what follows from it. */
+    void logSilence(std::string_view event, std::string_view obstacle);
 
-    /** Ends the attempt at a silent server if the next one is reserved; otherwise the attempt goes
-     * on. @returns whether the attempt may still move later */
-    bool moveFromSilentServer(const ServerId &server);
+    /** Suspends until no fiber of a successor is left. */
+    void awaitSuccessorFibers();
 
     RetryReservation::Hooks retryHooks();
     RetryState retryState(bool unsent, bool repeatable) const;
-    HttpCallOptions callOptions(const ServerId &server,
-                                const std::shared_ptr<Cancellation> &cancellation);
-    Step relayResponse(HttpStream &stream, const RegisteredServer &server);
+
+    /** Whether another server may run the request after the current one has begun to. */
+    bool mayRunAgain() const;
+    HttpCallOptions callOptions(RelayAttempt &attempt);
+
+    /**
+     * Evaluates the head of a response.
+     *
+     * @returns how the attempt ends; nothing if the body is to be read
+     */
+    std::optional<Step> evaluateHead(RelayAttempt &attempt, const HttpStream &stream);
+    Step relayResponse(RelayAttempt &attempt, HttpStream &stream);
 
     /** Applies what the response head states about its server: cold, leaving or backing off. */
     void applyServerState(const ResponseMetadata &metadata, const RegisteredServer &server);
@@ -60,11 +104,11 @@
      * @returns an error if the request must not be sent to the server
      */
     Result<void> mayStillSend(const ServerId &server) const;
-    Step relayBuffered(HttpStream &stream, const ServerId &server);
-    Step relayUnbuffered(HttpStream &stream, const ServerId &server, std::string begin);
-    Step finishBuffered(HttpResponse response, const ServerId &server);
-    Step relayEvents(HttpStream &stream, const ServerId &server);
-    Step fail(const Error &error, const ServerId &server);
+    Step relayBuffered(RelayAttempt &attempt, HttpStream &stream);
+    Step relayUnbuffered(RelayAttempt &attempt, HttpStream &stream, std::string begin);
+    Step finishBuffered(RelayAttempt &attempt, HttpResponse response);
+    Step relayEvents(RelayAttempt &attempt, HttpStream &stream);
+    Step fail(RelayAttempt &attempt, const Error &error);
 
     /** How far a response had come when its connection broke. */
     enum class BreakPoint {
@@ -73,12 +117,15 @@
         InBody,
     };
 
-    /** Records that the server ended the connection of the current attempt. */
-    void noteBroken(const ServerId &server, BreakPoint point);
+    /** Records that the server ended the connection of an attempt. */
+    void noteBroken(const RelayAttempt &attempt, BreakPoint point);
     Step callerLeft();
     HttpRequest outgoing(const ServerState &server, const ServerId &cachedAt) const;
     bool startResponse(const HttpStream &stream);
 
+    /** Writes complete events to the caller. @returns false if the caller has left */
+    bool passOn(const HttpStream &stream, const std::string &events);
+
     /** Reserves the next attempt after one that ended with @p step. */
     bool mayTryAgain(Step step);
     void refuse(const Placement &placement);
@@ -87,26 +134,27 @@
     void refuseQuarantined(std::chrono::milliseconds retryAfter);
     void giveUp();
     void sendError(const Error &error);
-    void record(const ServerId &server, ServerOutcome outcome);
+    void record(const RelayAttempt &attempt, ServerOutcome outcome);
 
     /** Records a complete response with a success. */
-    void recordCompleted(const ServerId &server);
+    void recordCompleted(RelayAttempt &attempt);
 
     /** Chooses a server of the version that a rollout assigns to the request, or of another one if
      * none of these can take it. */
     Placement place();
 
-    /** Begins to observe an attempt for recordForRollout(). */
-    void beginSample(const ServerState &server);
+    /** Whether a server is known to have the prompt cached. */
+    bool promptCachedAt(const ServerState &server) const;
 
-    void notePart(TimePoint received);
+    /** Records what an attempt shows about the version of its server. */
+    void recordForRollout(const RelayAttempt &attempt, bool ok);
 
-    /** Records what the current attempt shows about the version of its server. */
-    void recordForRollout(bool ok);
+    /** Records that part of an event stream has arrived. */
+    void notePart(RelayAttempt &attempt, TimePoint received);
 
     /** Reports once for each attempt that its server began to run it at @p time. */
-    void noteBegan(TimePoint time);
-    void recordWait();
+    void noteBegan(RelayAttempt &attempt, TimePoint time);
+    void recordWait(const RelayAttempt &attempt);
 
     Duration timeLeft() const;
 
@@ -142,45 +190,30 @@
     /** Keys of the prompt parts that other requests may share. */
     RequestKeys keys_;
 
-    /** Whether the current attempt has received the first part of an event stream. */
-    bool responseStarted_ = false;
-
-    /** Key of the current attempt at the stall detector. */
-    StallDetector::RequestKey watch_ = 0;
-
     /** When the retry of the reserved attempt was granted. Declared before the reservation, whose
      * destructor reads it. */
     TimePoint retryGranted_;
 
-    /** The next attempt, and the timer that moves the request to it from a silent server. */
+    /** The next attempt, and the timer that starts it beside a silent one. */
     RetryReservation retry_;
     SilenceTimer silenceTimer_;
 
-    /** Ends the current attempt; set while it may move. */
-    std::shared_ptr<Cancellation> attemptCancellation_;
-
-    /** The current attempt waits for the head of its response. */
-    bool awaitsHead_ = false;
-
-    /** The current attempt was given up because its server is silent. */
-    bool moved_ = false;
+    /** The attempt whose response is relayed. */
+    std::shared_ptr<RelayAttempt> current_;
 
-    /** A line was logged that says why the current attempt stays at a silent server. */
-    bool keptLogged_ = false;
+    /** The attempt that is to replace the current one; null if there is none. */
+    std::shared_ptr<RelayAttempt> successor_;
+    int successorFibers_ = 0;
 
-    /** When the current attempt was sent, and whether its server is known to run it. */
-    TimePoint sentAt_;
-    bool began_ = false;
+    /** Notified when a fiber of a successor has opened it or ends. */
+    boost::fibers::mutex successorMutex_;
+    boost::fibers::condition_variable successorChanged_;
 
-    /** Server of the current attempt, whether it was known to have the prompt cached, and when the
-     * first parts of its stream arrived. */
-    RegisteredServer attemptServer_;
-    bool promptCached_ = false;
-    std::vector<TimePoint> partTimes_;
+    /** A part is being written to the caller, so that the server is not read from. */
+    bool writing_ = false;
 
-    /** Start of the current attempt, and the wait after which its server counts as silent. */
-    TimePoint attemptStart_;
-    std::chrono::milliseconds silenceTimeout_{0};
+    /** Number of attempts that wait for the head of their response. */
+    int opening_ = 0;
 
     /** Number of servers that may have received part of the request. */
     int sentTo_ = 0;
