Keep the list of seeds that is being asked through a reload

What operators saw: an instance that starts while the store does not answer ended with a segmentation fault when SIGHUP brought another list of seeds.

Cause: Gateway::fetchPeerCopy() iterated over settings_.seeds and suspends while it asks a seed; reload() assigns that list meanwhile. Now it iterates over a copy.

Before: GatewayProcessTest.SeedsMayChangeWhileOneIsAsked failed, as the process had ended. After: it passes.

--- a/modules/jy_gateway/assembly/GatewayCopies.cpp
+++ b/modules/jy_gateway/assembly/GatewayCopies.cpp
@@ -126,7 +126,9 @@
 
 void Gateway::fetchPeerCopy()
 {
-    for (const auto &seed : settings_.seeds) {
+    // A copy, because a reload may replace the list while a seed is asked.
+    const auto seeds = settings_.seeds;
+    for (const auto &seed : seeds) {
         if (seed == settings_.listen.control)
             continue;
         const auto response =
--- a/tests/platform/GatewayProcessTest.cpp
+++ b/tests/platform/GatewayProcessTest.cpp
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 
 namespace jy::platform::test {
 
@@ -87,6 +88,19 @@
         return instance;
     }
 
+    /** Replaces the seeds in the settings file of an instance. @param seeds joined by "," */
+    void writeSeeds(const Instance &instance, const std::string &seeds)
+    {
+        const auto file = folder_ + '/' + instance.addresses.id + ".json";
+        std::stringstream text;
+        text << std::ifstream(file).rdbuf();
+        auto settings = text.str();
+        const std::string_view key = R"("seeds":[")";
+        const auto begin = settings.find(key) + key.size();
+        settings.replace(begin, settings.find("\"]", begin) - begin, seeds);
+        std::ofstream(file) << settings;
+    }
+
     void configure(int version, const std::string &prefix = "/a/")
     {
         store.put("op/config",
@@ -398,6 +412,38 @@
     });
 }
 
+// Guards against a reload that replaces the list of seeds while an instance without a configuration
+// asks one of them for its copy: the process ended with a segmentation fault.
+TEST(GatewayProcessTest, SeedsMayChangeWhileOneIsAsked)
+{
+    EventLoop loop;
+    loop.run([&] {
+        int asked = 0;
+        const jy::test::RawServer silent(loop, [&](jy::test::tcp::socket &socket, int) {
+            jy::test::RawServer::readHead(socket);
+            ++asked;
+            EventLoop::sleepFor(seconds(5));
+        });
+        GatewayFleet fleet(loop);
+        auto &instance = fleet.startOne();
+        const auto seeds = [&](std::size_t count) {
+            std::string list = toString(silent.endpoint());
+            for (std::size_t i = 1; i < count; ++i)
+                list += R"(",")" + toString(silent.endpoint());
+            fleet.writeSeeds(instance, list);
+            instance.process->signal(SIGHUP);
+        };
+        ASSERT_TRUE(within(startBound, [&] { return fleet.listens(instance); }));
+        seeds(2);
+        for (std::size_t count = 3; count < 8; ++count) {
+            const int before = asked;
+            ASSERT_TRUE(within(seconds(5), [&] { return asked > before; }));
+            seeds(count);
+        }
+        EXPECT_FALSE(instance.process->waitForExit(seconds(3)));
+    });
+}
+
 // Guards against requests that the end of a process cuts off without a response: one whose body is
 // complete late is refused, and one that still runs at the end gets a final response.
 TEST(GatewayProcessTest, ShutdownAnswersEveryRequest)
