--- a/tests/jy_http/HttpTestServer.h
+++ b/tests/jy_http/HttpTestServer.h
@@ -126,7 +126,7 @@
 {
 public:
     /** @param rest written again and again after @p begin until the client closes */
-    EndlessServer(std::string begin, std::string rest)
+    EndlessServer(std::string begin, const std::string &rest)
         : begin_(std::move(begin))
         , acceptor_(io_, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
     {
