Name the server of the second attempt in its log line

The line attempt-added was written before the successor was known, so its field "to" was empty. A successor whose fiber ends with an exception has failed, so that its request does not wait for it.

--- a/modules/jy_gateway/relay/RelaySuccessor.cpp
+++ b/modules/jy_gateway/relay/RelaySuccessor.cpp
@@ -23,18 +23,22 @@
     if (writing_ || successor_)
         return true;
     const auto obstacle = retry_.reserve(retryState(false, mayRunAgain()), true);
-    const bool reserved = obstacle == RetryObstacle::None;
-    if (reserved || !std::exchange(current_->keptLogged, true))
-        logSilence(reserved ? "attempt-added" : "attempt-kept", toString(obstacle));
-    if (!reserved)
+    if (obstacle != RetryObstacle::None) {
+        if (!std::exchange(current_->keptLogged, true))
+            logSilence("attempt-kept", toString(obstacle));
         return obstacle == RetryObstacle::BudgetSpent || obstacle == RetryObstacle::NoServer;
+    }
     successor_ = makeAttempt(retry_.take());
     successor_->ownFiber = true;
+    logSilence("attempt-added", toString(obstacle));
     ++successorFibers_;
     // A fiber of its own, as this may be called by a handler or by the stall detector.
     EventLoop::spawn([this, attempt = successor_] {
         const auto ended = absl::MakeCleanup([&] {
             const std::lock_guard lock(successorMutex_);
+            // An exception must not leave follow() waiting.
+            if (!attempt->opened)
+                attempt->opened.emplace(failure(ErrorKind::Internal, "the attempt has failed"));
             --successorFibers_;
             successorChanged_.notify_all();
         });
@@ -56,7 +60,7 @@
         return end(*attempt);
     if (opened && !evaluateHead(*attempt, *opened.value())
         && attempt->responseClass == ResponseClass::Deliver) {
-        logSilence("attempt-moved", "none");
+        logSilence("attempt-moved", toString(RetryObstacle::None));
         current_->replaced = true;
         current_->cancellation->cancel();
         return;
