Handle signals in jyrouter until the process has exited

The ProcessSignals of main() had been destroyed, which restored the default action of SIGHUP, and a signal arrived before the process was gone; no request was running.

Now jyrouter does not destroy it (jygateway ends without destructors).

--- a/programs/jyrouter/main.cpp
+++ b/programs/jyrouter/main.cpp
@@ -32,9 +32,11 @@
 int main(int argc, char **argv)
 {
     jy::EventLoop loop;
-    const auto signals = jy::ProcessSignals::create(loop);
-    if (!signals)
-        return static_cast<int>(jy::reportStartError(signals.error(), std::cerr));
+    auto created = jy::ProcessSignals::create(loop);
+    if (!created)
+        return static_cast<int>(jy::reportStartError(created.error(), std::cerr));
+    // Not destroyed, because a signal that arrives while the process exits would end it by default.
+    static auto *const signals = created.value().release();
     const jy::ProgramDescription program{
         .name = "jyrouter",
         .summary =
@@ -46,6 +48,6 @@
     const auto settings = jy::loadProgramSettings<jy::RouterSettings>(parsed, std::cout, std::cerr);
     if (const auto *exitCode = std::get_if<ExitCode>(&settings))
         return static_cast<int>(*exitCode);
-    return static_cast<int>(runRouter(loop, *signals.value(),
-                                      std::get<jy::RouterSettings>(settings), parsed.settingsFile));
+    return static_cast<int>(
+        runRouter(loop, *signals, std::get<jy::RouterSettings>(settings), parsed.settingsFile));
 }
