--- a/modules/jy_gateway/relay/RelayEvidence.cpp
+++ b/modules/jy_gateway/relay/RelayEvidence.cpp
@@ -19,6 +19,9 @@
 // A stream of fewer parts does not show the usual pause between its events.
 constexpr std::size_t minPartsForPause = 3;
 
+// Parts of a stream whose times are kept; their pauses show the speed of its server.
+constexpr std::size_t maxPartTimes = 24;
+
 } // namespace
 
 Placement RelayExchange::place()
@@ -102,6 +105,26 @@
     }
 }
 
+void RelayExchange::notePart(RelayAttempt &attempt, TimePoint received)
+{
+    const auto &server = attempt.server.id;
+    relay_.dependencies_.stalls.dataReceived(server, attempt.watch, route_.pauseTarget, received);
+    if (outcome_.firstPart.count() == 0)
+        outcome_.firstPart = received - start_;
+    else
+        outcome_.longestPause = std::max(outcome_.longestPause, received - lastPart_);
+    lastPart_ = received;
+    if (attempt.partTimes.size() < maxPartTimes)
+        attempt.partTimes.push_back(received);
+    if (std::exchange(attempt.responseStarted, true))
+        return;
+    noteBegan(attempt, received);
+    relay_.dependencies_.loads.responseStarted(server);
+    if (query_.affinity != 0)
+        relay_.dependencies_.prompts.addFromResponse(query_.affinity, query_.sharedTokens, server,
+                                                     received);
+}
+
 void RelayExchange::recordCompleted(RelayAttempt &attempt)
 {
     record(attempt, ServerOutcome::Succeeded);
