--- a/modules/jy_core/jy_core.h
+++ b/modules/jy_core/jy_core.h
@@ -22,6 +22,7 @@
 #include "jy_core/ledger/LedgerTypes.h"
 #include "jy_core/ledger/OwnerLedger.h"
 #include "jy_core/ledger/ServerLedger.h"
+#include "jy_core/limits/CapacityShare.h"
 #include "jy_core/limits/ColdStartRamp.h"
 #include "jy_core/limits/ConcurrencyLimit.h"
 #include "jy_core/limits/FairShare.h"
