Divide the places of a service by demand; report demand in heartbeats

Cause: no instance knows what the servers of a service can take in all, so together they send more than the servers hold. Ruled out: a mean service time over a fixed number of requests.

--- a/modules/jy_core/limits/CapacityShare.cpp
+++ b/modules/jy_core/limits/CapacityShare.cpp
@@ -1,56 +1,137 @@
 #include "jy_core/limits/CapacityShare.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace jy {
 
-void CapacityShare::requestArrived(TimePoint /*now*/) { }
+namespace {
 
-void CapacityShare::update(const FleetUse & /*use*/, TimePoint /*now*/) { }
+using Seconds = std::chrono::duration<double>;
 
-void CapacityShare::serverFull(TimePoint /*now*/) { }
+// Weight of one request in the mean time at the servers: the last 20 requests, or those of the last
+// second if they are fewer.
+constexpr double serviceTimeWeight = 0.05;
+constexpr std::chrono::milliseconds serviceTimeConstant{1000};
 
-bool CapacityShare::available(TimePoint /*now*/)
+Duration toDuration(double seconds)
 {
-    return true;
+    return std::chrono::duration_cast<Duration>(Seconds(seconds));
 }
 
-void CapacityShare::requestStarted(TimePoint /*now*/)
+} // namespace
+
+void CapacityShare::requestArrived(TimePoint now)
 {
-    ++inFlight_;
+    demand_ = demand(now) + 1 / Seconds(demandTimeConstant).count();
+    demandAt_ = std::max(demandAt_, now);
 }
 
-void CapacityShare::requestFinished(Duration /*atServers*/, TimePoint /*now*/)
+double CapacityShare::demand(TimePoint now) const
 {
-    --inFlight_;
+    const Seconds passed = std::max(Duration::zero(), now - demandAt_);
+    return demand_ * std::exp(-passed / Seconds(demandTimeConstant));
 }
 
-std::optional<TimePoint> CapacityShare::nextAt(TimePoint /*now*/) const
+void CapacityShare::update(const FleetUse &use, TimePoint now)
 {
-    return std::nullopt;
+    use_ = use;
+    const double own = demand(now);
+    const double fleet = own + use_.otherDemand;
+    share_ = fleet > 0 ? use_.places * own / fleet : use_.places;
+    const double threshold = contentionThreshold * use_.places;
+    if (use_.places > 0 && (use_.inFlight >= threshold || fleet * serviceSeconds_ >= threshold))
+        noteContention(now);
 }
 
-bool CapacityShare::contended(TimePoint /*now*/) const
+void CapacityShare::serverFull(TimePoint now)
 {
-    return false;
+    noteContention(now);
 }
 
-double CapacityShare::share() const
+void CapacityShare::noteContention(TimePoint now)
+{
+    if (!contended(now)) {
+        savedStarts_ = phase_;
+        savedAt_ = now;
+    }
+    contendedUntil_ = now + contentionHold;
+}
+
+bool CapacityShare::contended(TimePoint now) const
+{
+    return contendedUntil_ && now < *contendedUntil_;
+}
+
+int CapacityShare::wholePlaces() const
+{
+    return static_cast<int>(std::floor(share_));
+}
+
+double CapacityShare::pacedRate() const
+{
+    const double fraction = share_ - wholePlaces();
+    return serviceSeconds_ > 0 ? fraction / serviceSeconds_ : 0;
+}
+
+double CapacityShare::savedStarts(TimePoint now) const
+{
+    const Seconds passed = std::max(Duration::zero(), now - savedAt_);
+    return std::min(1.0, savedStarts_ + passed.count() * pacedRate());
+}
+
+bool CapacityShare::available(TimePoint now)
+{
+    // Without servers the placement refuses the request.
+    if (!contended(now) || use_.places <= 0 || inFlight_ < wholePlaces())
+        return true;
+    if (inFlight_ > wholePlaces())
+        return false;
+    return serviceSeconds_ <= 0 || savedStarts(now) >= 1;
+}
+
+void CapacityShare::requestStarted(TimePoint now)
+{
+    if (contended(now) && inFlight_ >= wholePlaces()) {
+        savedStarts_ = std::max(0.0, savedStarts(now) - 1);
+        savedAt_ = now;
+    }
+    ++inFlight_;
+}
+
+void CapacityShare::requestFinished(Duration atServers, TimePoint now)
+{
+    --inFlight_;
+    if (atServers <= Duration::zero())
+        return;
+    const Seconds sinceLast = std::max(Duration::zero(), now - lastFinish_);
+    const double aged = 1 - std::exp(-sinceLast / Seconds(serviceTimeConstant));
+    const double weight = serviceSeconds_ <= 0 ? 1 : std::max(serviceTimeWeight, aged);
+    serviceSeconds_ += weight * (Seconds(atServers).count() - serviceSeconds_);
+    lastFinish_ = now;
+}
+
+std::optional<TimePoint> CapacityShare::nextAt(TimePoint now) const
 {
-    return 0;
+    const double rate = pacedRate();
+    if (!contended(now) || inFlight_ != wholePlaces() || rate <= 0)
+        return std::nullopt;
+    return now + toDuration((1 - savedStarts(now)) / rate);
 }
 
-double CapacityShare::demand(TimePoint /*now*/) const
+double CapacityShare::share() const
 {
-    return 0;
+    return share_;
 }
 
 Duration CapacityShare::serviceTime() const
 {
-    return {};
+    return toDuration(serviceSeconds_);
 }
 
 Duration CapacityShare::placeInterval() const
 {
-    return {};
+    return share_ > 0 ? toDuration(serviceSeconds_ / share_) : Duration::zero();
 }
 
 } // namespace jy
--- a/modules/jy_core/limits/CapacityShare.h
+++ b/modules/jy_core/limits/CapacityShare.h
@@ -29,6 +29,21 @@
 class CapacityShare
 {
 public:
+    /** Fraction of the places in use or in demand at which the service becomes contended. */
+    static constexpr double contentionThreshold = 0.7;
+
+    /** Time for which a service stays contended after the last sign of contention. */
+    static constexpr std::chrono::milliseconds contentionHold{2000};
+
+    /** Time constant of the moving average of the demand. */
+    static constexpr std::chrono::milliseconds demandTimeConstant{1000};
+
+    /** @param phase number in [0, 1) that differs between instances, so that the instances with
+     *        less than one place do not all send their first requests at the same moment */
+    explicit CapacityShare(double phase = 0)
+        : phase_(phase)
+    { }
+
     /** Counts a request of a caller, whether it is served or refused. */
     void requestArrived(TimePoint now);
 
@@ -44,7 +59,8 @@
     /** Takes a place. */
     void requestStarted(TimePoint now);
 
-    /** Gives a place back. @param atServers time for which it was taken */
+    /** Gives a place back. @param atServers time for which it was taken; zero if no server ran the
+     * request, which then does not count in the mean */
     void requestFinished(Duration atServers, TimePoint now);
 
     /** When a place becomes available without another request ending; nothing if it takes that. */
@@ -68,7 +84,36 @@
     Duration placeInterval() const;
 
 private:
+    /** Whole places of this instance. */
+    int wholePlaces() const;
+
+    /** Requests per second that may be in flight beyond the whole places; 0 if there are none. */
+    double pacedRate() const;
+
+    /** Requests that the paced fraction of a place allows at @p now; at most 1. */
+    double savedStarts(TimePoint now) const;
+
+    void noteContention(TimePoint now);
+
+    double phase_;
+    FleetUse use_;
     int inFlight_ = 0;
+
+    /** Demand at demandAt_. */
+    double demand_ = 0;
+    TimePoint demandAt_;
+
+    /** Moving average of the time for which requests take a place, in seconds; 0 if unknown. */
+    double serviceSeconds_ = 0;
+    TimePoint lastFinish_;
+
+    double share_ = 0;
+
+    /** End of the contention; nothing if there never was one. */
+    std::optional<TimePoint> contendedUntil_;
+
+    double savedStarts_ = 0;
+    TimePoint savedAt_;
 };
 
 } // namespace jy
--- a/modules/jy_gateway/peers/HeartbeatCodec.cpp
+++ b/modules/jy_gateway/peers/HeartbeatCodec.cpp
@@ -33,6 +33,10 @@
 // Largest encoded size of an entry about a prompt part or the limit of a server.
 constexpr std::size_t limitEntryBytes = 20;
 
+// Encoded size of the demand for a service, and the maximum number of services in one heartbeat.
+constexpr std::size_t demandEntryBytes = 14;
+constexpr std::size_t maxDemands = 16;
+
 // Space reserved for the fields other than lists of servers and prompts.
 constexpr std::size_t fixedBytes = 240;
 
@@ -169,6 +173,35 @@
     }
 }
 
+/** Adds the services in most demand. */
+void addDemand(const DemandByService &demand, wire::Beat &message)
+{
+    message.set_states_demand(true);
+    std::vector<std::pair<double, std::uint32_t>> sorted;
+    sorted.reserve(demand.size());
+    for (const auto &[service, perSecond] : demand)
+        sorted.emplace_back(perSecond, service);
+    std::ranges::sort(sorted, std::ranges::greater());
+    sorted.resize(std::min(sorted.size(), maxDemands));
+    for (const auto &[perSecond, service] : sorted) {
+        if (toTenths(perSecond) == 0)
+            return;
+        auto *entry = message.add_demands();
+        entry->set_service_hash(service);
+        entry->set_per_second_tenths(toTenths(perSecond));
+    }
+}
+
+std::optional<DemandByService> readDemand(const wire::Beat &message)
+{
+    if (!message.states_demand())
+        return std::nullopt;
+    DemandByService demand;
+    for (const auto &entry : message.demands())
+        demand[entry.service_hash()] = entry.per_second_tenths() / tenths;
+    return demand;
+}
+
 std::vector<ServerLimitReport> readServerLimits(const wire::Beat &message,
                                                 const ServerByHash &findServer)
 {
@@ -411,6 +444,8 @@
     addStalled(heartbeat.stalled, message);
     addParts(heartbeat.parts, message);
     addServerLimits(heartbeat.serverLimits, message);
+    if (heartbeat.demand)
+        addDemand(*heartbeat.demand, message);
     const auto availableBytes = remainingBytes(
         maxHeartbeatBytes,
         fixedBytes + static_cast<std::size_t>(message.leaving_size()) * leavingEntryBytes
@@ -419,7 +454,8 @@
             + static_cast<std::size_t>(message.part_crashes_size() + message.sound_parts_size()
                                        + message.quarantined_parts_size()
                                        + message.server_limits_size())
-                * limitEntryBytes);
+                * limitEntryBytes
+            + static_cast<std::size_t>(message.demands_size()) * demandEntryBytes);
     if (heartbeat.brief || heartbeat.group) {
         message.set_brief(true);
         message.set_instance_hash(peerHash(heartbeat.instance.id));
@@ -485,6 +521,7 @@
     heartbeat.stalled = readStalled(message, findServer);
     heartbeat.parts = readParts(message);
     heartbeat.serverLimits = readServerLimits(message, findServer);
+    heartbeat.demand = readDemand(message);
     return heartbeat;
 }
 
--- a/modules/jy_gateway/peers/PeerTable.h
+++ b/modules/jy_gateway/peers/PeerTable.h
@@ -2,6 +2,7 @@
 
 #include "jy_base/time/TimeTypes.h"
 #include "jy_gateway/duties/UsageMessage.h"
+#include "jy_gateway/limits/DemandTable.h"
 #include "jy_gateway/limits/PromptQuarantine.h"
 #include "jy_gateway/limits/ServerRateLimits.h"
 #include "jy_gateway/model/FleetChange.h"
@@ -66,6 +67,10 @@
     /** Limits that servers named or ended, see ServerRateLimits. */
     std::vector<ServerLimitReport> serverLimits;
 
+    /** Demand of callers at the sender, or in a report the sum over the group; nothing from a build
+     * that does not state it. */
+    std::optional<DemandByService> demand;
+
     /** Set in a report; the message then contains no state of the sender itself. */
     std::optional<GroupReport> group;
 
--- a/modules/jy_http/client/ConnectionPool.cpp
+++ b/modules/jy_http/client/ConnectionPool.cpp
@@ -40,12 +40,18 @@
                           TimePoint now)
 {
     auto &connections = idle_[endpoint];
-    if (connections.size() >= settings_.maxIdlePerEndpoint || !isReusable(*connection))
+    if (connections.size() >= idleLimit(endpoint) || !isReusable(*connection))
         return;
     connection->idleSince = now;
     connections.push_back(std::move(connection));
 }
 
+std::size_t ConnectionPool::idleLimit(const Endpoint &endpoint) const
+{
+    const auto most = settings_.maxIdlePerEndpoint;
+    return idleLimit_ ? std::min(most, idleLimit_(endpoint)) : most;
+}
+
 std::size_t ConnectionPool::size() const
 {
     std::size_t total = 0;
--- a/modules/jy_http/client/ConnectionPool.h
+++ b/modules/jy_http/client/ConnectionPool.h
@@ -7,9 +7,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace jy {
@@ -51,6 +53,14 @@
               TimePoint now);
 
     void forget(const Endpoint &endpoint) { idle_.erase(endpoint); }
+
+    /** Sets a limit of idle connections by endpoint below HttpClientSettings::maxIdlePerEndpoint.
+     */
+    void setIdleLimit(std::function<std::size_t(const Endpoint &)> limit)
+    {
+        idleLimit_ = std::move(limit);
+    }
+
     std::size_t size() const;
 
 private:
@@ -58,7 +68,10 @@
 
     void closeExpired(TimePoint now);
 
+    std::size_t idleLimit(const Endpoint &endpoint) const;
+
     HttpClientSettings settings_;
+    std::function<std::size_t(const Endpoint &)> idleLimit_;
     std::map<Endpoint, Connections> idle_;
     TimePoint nextSweep_;
 };
--- a/modules/jy_http/client/HttpClient.cpp
+++ b/modules/jy_http/client/HttpClient.cpp
@@ -103,6 +103,11 @@
     impl_->pool().forget(endpoint);
 }
 
+void HttpClient::setIdleLimit(std::function<std::size_t(const Endpoint &)> limit)
+{
+    impl_->pool().setIdleLimit(std::move(limit));
+}
+
 std::size_t HttpClient::idleConnections() const
 {
     return impl_->pool().size();
--- a/modules/jy_http/client/HttpClient.h
+++ b/modules/jy_http/client/HttpClient.h
@@ -89,6 +89,12 @@
     /** Closes the idle connections to an endpoint, for example because its server left. */
     void forget(const Endpoint &endpoint);
 
+    /**
+     * Sets a limit of idle connections to each endpoint, below
+     * HttpClientSettings::maxIdlePerEndpoint. Further ones are closed after their exchange.
+     */
+    void setIdleLimit(std::function<std::size_t(const Endpoint &)> limit);
+
     std::size_t idleConnections() const;
 
 private:
--- a/tests/jy_gateway/PeerFormatTest.cpp
+++ b/tests/jy_gateway/PeerFormatTest.cpp
@@ -33,15 +33,19 @@
         [](std::uint32_t) { return &sender; });
 }
 
-/** Reads and writes heartbeats with the schema of the build that landed last: protoc
- * --descriptor_set_out of its beat.proto. */
-class LandedBuild
+// Schemas of earlier builds: protoc --descriptor_set_out of their beat.proto. The first is of the
+// build that landed last, the second one is from before prompt parts, limits of servers and
+// rollouts.
+constexpr const char *landedSchema = "beat-landed.binpb";
+constexpr const char *schemaBeforeLimits = "beat-before-limits.binpb";
+
+/** Reads and writes heartbeats with the schema of an earlier build. */
+class EarlierBuild
 {
 public:
-    LandedBuild()
+    explicit EarlierBuild(const char *schemaFile)
     {
-        std::ifstream file(std::string(JY_SOURCE_DIR)
-                           + "/tests/jy_gateway/formats/beat-landed.binpb");
+        std::ifstream file(std::string(JY_SOURCE_DIR) + "/tests/jy_gateway/formats/" + schemaFile);
         google::protobuf::FileDescriptorSet schema;
         EXPECT_TRUE(schema.ParseFromIstream(&file));
         const auto *built = pool_.BuildFile(schema.file(0));
@@ -49,7 +53,7 @@
             prototype_ = factory_.GetPrototype(built->FindMessageTypeByName("Beat"));
     }
 
-    /** @returns what the landed build keeps of a message, as it would write it itself */
+    /** @returns what the earlier build keeps of a message, as it would write it itself */
     std::string readAndWrite(const std::string &bytes)
     {
         const std::unique_ptr<google::protobuf::Message> message(prototype_->New());
@@ -83,10 +87,30 @@
             .stalled = {ServerId("s2")}};
 }
 
+Heartbeat landedReport()
+{
+    auto report = landedHeartbeat(true);
+    report.requests.clear();
+    report.group = GroupReport{
+        .groups = 16, .group = 3, .ready = {1, 2}, .requests = {{ServerId("s1"), {5, 0}}}};
+    return report;
+}
+
+/** Adds what the landed build sends and the one before limits does not know. */
+Heartbeat withLimits(Heartbeat heartbeat)
+{
+    heartbeat.parts = {.crashes = {{1, 2, CrashEvidence::ResponseBegun, milliseconds(300)}},
+                       .quarantined = {{3, 1, milliseconds(-5)}},
+                       .sound = {{4, milliseconds(20)}}};
+    heartbeat.serverLimits = {{ServerId("s1"), 2.5}, {ServerId("s2"), std::nullopt}};
+    return heartbeat;
+}
+
 struct FormatCase
 {
     const char *name;
-    std::function<Heartbeat()> landed;
+    const char *schema;
+    Heartbeat base;
 };
 
 struct PeerFormatTest : testing::TestWithParam<FormatCase>
@@ -94,61 +118,56 @@
 
 // Guards against instances of two builds that do not understand each other while machines are
 // replaced one after the other.
-TEST_P(PeerFormatTest, NewAndLandedBuildsUnderstandEachOther)
+TEST_P(PeerFormatTest, NewAndEarlierBuildsUnderstandEachOther)
 {
-    LandedBuild landedBuild;
-    const auto landed = GetParam().landed();
-    auto sent = landed;
-    sent.parts = {.crashes = {{1, 2, CrashEvidence::ResponseBegun, milliseconds(300)}},
-                  .quarantined = {{3, 1, milliseconds(-5)}},
-                  .sound = {{4, milliseconds(20)}}};
-    sent.serverLimits = {{ServerId("s1"), 2.5}, {ServerId("s2"), std::nullopt}};
+    const auto &[name, schema, base] = GetParam();
+    EarlierBuild earlierBuild(schema);
+    const bool knowsLimits = schema == landedSchema;
+    const auto earlier = knowsLimits ? withLimits(base) : base;
+    auto sent = withLimits(base);
+    sent.demand = DemandByService{{7, 12.5}};
     const auto bytes = encodeHeartbeat(sent);
-    EXPECT_EQ(landedBuild.readAndWrite(bytes), encodeHeartbeat(landed));
+    EXPECT_EQ(earlierBuild.readAndWrite(bytes), encodeHeartbeat(earlier));
 
     const auto ofNew = decode(bytes);
-    const auto ofLanded = decode(landedBuild.readAndWrite(bytes));
-    ASSERT_TRUE(ofNew && ofLanded);
+    const auto ofEarlier = decode(earlierBuild.readAndWrite(bytes));
+    ASSERT_TRUE(ofNew && ofEarlier);
     EXPECT_EQ(ofNew.value().parts.quarantined.at(0).untilProbe, milliseconds(-5));
     EXPECT_EQ(ofNew.value().serverLimits.at(0).perSecond, 2.5);
     EXPECT_FALSE(ofNew.value().serverLimits.at(1).perSecond);
-    EXPECT_TRUE(ofLanded.value().parts.crashes.empty() && ofLanded.value().serverLimits.empty());
-    EXPECT_EQ(ofLanded.value().requests, ofNew.value().requests);
-    EXPECT_EQ(ofLanded.value().leaving, landed.leaving);
+    EXPECT_EQ(ofNew.value().demand, sent.demand);
+    EXPECT_EQ(ofEarlier.value().parts.crashes.empty(), !knowsLimits);
+    EXPECT_EQ(ofEarlier.value().serverLimits.empty(), !knowsLimits);
+    EXPECT_FALSE(ofEarlier.value().demand);
+    EXPECT_EQ(ofEarlier.value().requests, ofNew.value().requests);
+    EXPECT_EQ(ofEarlier.value().leaving, base.leaving);
 }
 
-INSTANTIATE_TEST_SUITE_P(Messages, PeerFormatTest,
-                         testing::Values(FormatCase{"brief", [] { return landedHeartbeat(true); }},
-                                         FormatCase{"complete",
-                                                    [] { return landedHeartbeat(false); }},
-                                         FormatCase{"report",
-                                                    [] {
-                                                        auto report = landedHeartbeat(true);
-                                                        report.requests.clear();
-                                                        report.group = GroupReport{
-                                                            .groups = 16,
-                                                            .group = 3,
-                                                            .ready = {1, 2},
-                                                            .requests = {{ServerId("s1"), {5, 0}}}};
-                                                        return report;
-                                                    }}),
-                         [](const auto &testCase) { return testCase.param.name; });
+INSTANTIATE_TEST_SUITE_P(
+    Messages, PeerFormatTest,
+    testing::Values(FormatCase{"brief", landedSchema, landedHeartbeat(true)},
+                    FormatCase{"complete", landedSchema, landedHeartbeat(false)},
+                    FormatCase{"report", landedSchema, landedReport()},
+                    FormatCase{"briefBeforeLimits", schemaBeforeLimits, landedHeartbeat(true)},
+                    FormatCase{"completeBeforeLimits", schemaBeforeLimits, landedHeartbeat(false)},
+                    FormatCase{"reportBeforeLimits", schemaBeforeLimits, landedReport()}),
+    [](const auto &testCase) { return testCase.param.name; });
 
 // A build that does not know outcomes of rollouts must see an old message of a known instance,
 // which it ignores by its sequence number.
-TEST(RolloutFormatTest, LandedBuildReadsAnEmptyMessage)
+TEST(RolloutFormatTest, EarlierBuildReadsAnEmptyMessage)
 {
-    LandedBuild landedBuild;
+    EarlierBuild earlierBuild(schemaBeforeLimits);
     const RolloutMessage sent{ServiceId("s"), 5, {.target = {{"a", {9, 1, 8, 2}}}}};
     const auto bytes =
         encodeHeartbeat({.instance = {.id = sender}, .incarnation = 3, .rollout = sent});
     const auto received = decode(bytes);
     ASSERT_TRUE(received && received.value().rollout);
     EXPECT_EQ(received.value().rollout->outcomes, sent.outcomes);
-    const auto ofLanded = decode(landedBuild.readAndWrite(bytes));
-    ASSERT_TRUE(ofLanded);
-    EXPECT_FALSE(ofLanded.value().rollout);
-    EXPECT_EQ(ofLanded.value().sequence, 0U);
+    const auto ofEarlier = decode(earlierBuild.readAndWrite(bytes));
+    ASSERT_TRUE(ofEarlier);
+    EXPECT_FALSE(ofEarlier.value().rollout);
+    EXPECT_EQ(ofEarlier.value().sequence, 0U);
 }
 
 TEST(StoredFormatTest, FieldsOfLaterBuildsArePassedOver)
