--- a/modules/jy_core/ledger/ServerLedger.cpp
+++ b/modules/jy_core/ledger/ServerLedger.cpp
@@ -92,15 +92,15 @@
     QueueEntry entry{.ticket = ticket,
                      .workspace = input.workspace,
                      .weight = input.weight,
-                     .priority = input.priority,
+                     .urgency = static_cast<int>(input.priority),
                      .deadline = now + input.maxWait};
     const auto slotTime = meanDuration_ / std::max(1, effectiveLimit(pool, now));
     const auto pushed = queue_.push(std::move(entry), workspaces_, slotTime, now);
     if (!pushed)
         return Refused{pushed.error()};
     queuedHolders_[ticket] = input.holder;
-    if (pushed.value())
-        evictedTickets_.push_back(pushed.value()->ticket);
+    for (const auto &evicted : pushed.value())
+        evictedTickets_.push_back(evicted.ticket);
     return Queued{ticket};
 }
 
--- /dev/null
+++ b/modules/jy_core/limits/AdmissionQueue.cpp
@@ -0,0 +1,126 @@
+#include "jy_core/limits/AdmissionQueue.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace jy {
+
+namespace {
+
+int urgencyOf(int priority)
+{
+    return -std::max(priority, -std::numeric_limits<int>::max());
+}
+
+} // namespace
+
+AdmissionQueue::AdmissionQueue(Limits limits, std::function<double()> draw, double phase)
+    : draw_(std::move(draw))
+    , share_(phase)
+    , queue_(limits.maxWaiting, limits.maxWaitingBytes)
+{ }
+
+Duration AdmissionQueue::longestWait(const AdmissionRequest &request, TimePoint now)
+{
+    const auto spare = request.latencyTarget - request.expectedStart;
+    const auto wait = std::max<Duration>(
+        minLongestWait, std::chrono::duration_cast<Duration>(waitFraction * spare));
+    return std::min(wait, request.deadline - request.expectedStart - now);
+}
+
+std::vector<AdmissionDecision> AdmissionQueue::enter(const AdmissionRequest &request, TimePoint now)
+{
+    share_.requestArrived(now);
+    if (queue_.empty() && share_.available(now)) {
+        take(request.workspace, now);
+        return {{request.ticket, std::nullopt}};
+    }
+    const auto pushed = queue_.push({.ticket = request.ticket,
+                                     .workspace = request.workspace,
+                                     .weight = request.weight,
+                                     .urgency = urgencyOf(request.priority),
+                                     .deadline = now + longestWait(request, now),
+                                     .precedence = request.deadline,
+                                     .bytes = request.bytes},
+                                    inFlight_, share_.placeInterval(), now);
+    if (!pushed)
+        return {refuse(request.ticket, now)};
+    std::vector<AdmissionDecision> decisions;
+    for (const auto &removed : pushed.value())
+        decisions.push_back(refuse(removed.ticket, now));
+    admitWaiting(now, decisions);
+    for (const auto &removed : queue_.removeHopeless(inFlight_, share_.placeInterval(), now))
+        decisions.push_back(refuse(removed.ticket, now));
+    return decisions;
+}
+
+void AdmissionQueue::leave(std::uint64_t ticket)
+{
+    queue_.cancel(ticket);
+}
+
+std::vector<AdmissionDecision> AdmissionQueue::finish(const WorkspaceId &workspace,
+                                                      Duration atServers, TimePoint now)
+{
+    share_.requestFinished(atServers, now);
+    inFlight_.finish(workspace);
+    return advance(now);
+}
+
+std::vector<AdmissionDecision> AdmissionQueue::advance(TimePoint now)
+{
+    std::vector<AdmissionDecision> decisions;
+    admitWaiting(now, decisions);
+    for (const auto &expired : queue_.expire(now))
+        decisions.push_back(refuse(expired.ticket, now));
+    return decisions;
+}
+
+std::optional<TimePoint> AdmissionQueue::nextAt(TimePoint now) const
+{
+    const auto deadline = queue_.nextDeadline();
+    if (!deadline)
+        return std::nullopt;
+    return std::min(*deadline, share_.nextAt(now).value_or(*deadline));
+}
+
+bool AdmissionQueue::mayRetry(int priority) const
+{
+    return queue_.countFrom(urgencyOf(priority)) == 0;
+}
+
+bool AdmissionQueue::tryExtra(const WorkspaceId &workspace, TimePoint now)
+{
+    if (!queue_.empty() || !share_.available(now))
+        return false;
+    take(workspace, now);
+    return true;
+}
+
+void AdmissionQueue::take(const WorkspaceId &workspace, TimePoint now)
+{
+    share_.requestStarted(now);
+    inFlight_.start(workspace);
+}
+
+std::chrono::milliseconds AdmissionQueue::returnAfter(TimePoint now)
+{
+    return returns_.next(share_.placeInterval(), draw_(), now);
+}
+
+AdmissionDecision AdmissionQueue::refuse(std::uint64_t ticket, TimePoint now)
+{
+    return {ticket, Error{ErrorKind::Overloaded, "no-room", returnAfter(now)}};
+}
+
+void AdmissionQueue::admitWaiting(TimePoint now, std::vector<AdmissionDecision> &decisions)
+{
+    while (!queue_.empty() && share_.available(now)) {
+        const auto entry = queue_.pop(inFlight_);
+        take(entry->workspace, now);
+        decisions.push_back({entry->ticket, std::nullopt});
+    }
+}
+
+} // namespace jy
--- a/modules/jy_core/limits/RequestQueue.h
+++ b/modules/jy_core/limits/RequestQueue.h
@@ -7,7 +7,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
+#include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace jy {
@@ -23,21 +27,37 @@
 {
     std::uint64_t ticket = 0;
     WorkspaceId workspace;
+
+    /** The same for all entries of a workspace. */
     double weight = 1;
-    Priority priority = Priority::Normal;
+
+    /** Entries with a higher one are served first. */
+    int urgency = 0;
 
     /** Time at which the entry expires. */
     TimePoint deadline;
+
+    /** Among the entries of a workspace with the same urgency, the earliest is served first. */
+    TimePoint precedence;
+
+    /** Memory that the request takes while it waits. */
+    std::size_t bytes = 0;
 };
 
 /**
- * Bounded request queue of one server, ordered by priority, then by the requests in flight of the
- * workspace per unit of weight, then by arrival.
+ * Bounded request queue, ordered by urgency, then by the requests in flight of the workspace per
+ * unit of weight, then by precedence, then by arrival.
+ *
+ * The cost of removing an entry grows with the number of workspaces that have entries, that of
+ * adding one with the number of entries.
  */
 class RequestQueue
 {
 public:
-    explicit RequestQueue(std::size_t capacity);
+    static constexpr std::size_t unlimited = static_cast<std::size_t>(-1);
+
+    /** @param maxBytes limit of the sum of QueueEntry::bytes */
+    explicit RequestQueue(std::size_t capacity, std::size_t maxBytes = unlimited);
 
     /**
      * Adds an entry.
@@ -45,16 +65,24 @@
      * Errors: DeadlineTooShort when the expected wait exceeds the deadline, Overloaded when the
      * queue is full of entries that are served earlier.
      *
-     * @param inFlight requests in flight at the server, by workspace
+     * @param inFlight requests in flight, by workspace
      * @param slotTime mean time until a request slot becomes free; zero when unknown
-     * @returns the entry that was evicted from a full queue, which is the last in order, if any
+     * @returns the entries that were removed to make room, which were the last in order
      */
-    Result<std::optional<QueueEntry>> push(QueueEntry entry, const FairShare &inFlight,
-                                           Duration slotTime, TimePoint now);
+    Result<std::vector<QueueEntry>> push(QueueEntry entry, const FairShare &inFlight,
+                                         Duration slotTime, TimePoint now);
 
     /** Removes the first entry in order; nothing if the queue is empty. */
     std::optional<QueueEntry> pop(const FairShare &inFlight);
 
+    /**
+     * Removes the last entries in order as long as their expected wait exceeds their deadline.
+     *
+     * @param slotTime see push()
+     */
+    std::vector<QueueEntry> removeHopeless(const FairShare &inFlight, Duration slotTime,
+                                           TimePoint now);
+
     /** Removes the entries whose deadline has passed. */
     std::vector<QueueEntry> expire(TimePoint now);
 
@@ -64,19 +92,64 @@
     /** Removes all entries. */
     std::vector<QueueEntry> drain();
 
+    /** Number of entries with at least the given urgency. */
+    std::size_t countFrom(int urgency) const;
+
+    /** Earliest deadline of an entry; nothing if the queue is empty. */
+    std::optional<TimePoint> nextDeadline() const;
+
     void setCapacity(std::size_t capacity) { capacity_ = capacity; }
-    std::size_t size() const { return entries_.size(); }
-    bool empty() const { return entries_.empty(); }
+    std::size_t size() const { return positions_.size(); }
+    bool empty() const { return positions_.empty(); }
 
 private:
-    /** Whether @p a is served before @p b. */
-    bool isServedBefore(const QueueEntry &a, const QueueEntry &b, const FairShare &inFlight) const;
+    struct Position
+    {
+        int urgency = 0;
+        WorkspaceId workspace;
+        TimePoint precedence;
+        TimePoint deadline;
+    };
+
+    /** Order of the entries of one workspace. */
+    struct Rank
+    {
+        TimePoint precedence;
+        std::uint64_t ticket = 0;
+
+        auto operator<=>(const Rank &) const = default;
+    };
+
+    /** Order of the entries of one urgency. */
+    struct Order
+    {
+        double usage = 0;
+        Rank rank;
+
+        auto operator<=>(const Order &) const = default;
+    };
 
-    /** Requests of the workspace per unit of weight, in flight or queued before @p entry. */
-    double usage(const QueueEntry &entry, const FairShare &inFlight) const;
+    using Entries = std::map<Rank, QueueEntry>;
+    using Workspaces = std::map<WorkspaceId, Entries>;
+
+    /** Requests of the workspace per unit of weight, in flight or served before an entry. */
+    static double usage(const QueueEntry &entry, std::size_t before, const FairShare &inFlight);
+
+    /** Number of entries that are served before @p entry, which is not queued. */
+    std::size_t countBefore(const QueueEntry &entry, const FairShare &inFlight) const;
+
+    const QueueEntry &last(const FairShare &inFlight) const;
+    QueueEntry remove(std::uint64_t ticket);
+    void insert(QueueEntry entry);
 
     std::size_t capacity_;
-    std::vector<QueueEntry> entries_;
+    std::size_t maxBytes_;
+    std::size_t bytes_ = 0;
+
+    /** Entries by urgency, the highest first. */
+    std::map<int, Workspaces, std::greater<>> entries_;
+    std::unordered_map<std::uint64_t, Position> positions_;
+    std::set<std::pair<TimePoint, std::uint64_t>> deadlines_;
 };
 
 } // namespace jy
--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -74,6 +74,21 @@
             .milliCores = static_cast<int>(limits.processorShare * limits.cores * thousandths)};
 }
 
+std::unique_ptr<ServiceAdmission> createAdmission(EventLoop &loop, Metrics &metrics,
+                                                  const GatewaySettings &settings)
+{
+    // Bodies of waiting requests may take a quarter of the memory for bodies.
+    constexpr std::size_t waitingBytesDivisor = 4;
+    if (!settings.admission.enabled)
+        return nullptr;
+    return std::make_unique<ServiceAdmission>(
+        loop, metrics,
+        AdmissionQueue::Limits{
+            .maxWaiting = static_cast<std::size_t>(settings.admission.maxWaiting),
+            .maxWaitingBytes = bodyBudgetBytes(settings.limits) / waitingBytesDivisor},
+        randomSeed());
+}
+
 void logSupervision(const Event &event)
 {
     logEvent(LogLevel::Warn, "supervision", {{"kind", event.kind}});
@@ -116,6 +131,7 @@
                     [this] { return era_.current(); })
     , peers_(self_.id)
     , incarnation_(unixMilliseconds())
+    , serviceAdmission_(createAdmission(loop_, metrics_, settings_))
     , stalls_([this](const ServerId &server) { return isFull(server); })
     , cold_(self_.id)
     , quarantine_(self_.id)
@@ -148,6 +164,7 @@
               .rollouts = rolloutTraffic_,
               .protocol = adapter_.protocol,
               .metrics = metrics_,
+              .admission = serviceAdmission_.get(),
               .bodyBudget = bodyBudget_,
               .awaitConfig = [this](milliseconds longest) { awaitConfig(longest); },
               .readyAfter =
@@ -158,7 +175,11 @@
               .attemptBegan = [this](const WorkspaceId &workspace,
                                      TimePoint began) { duties_.attemptBegan(workspace, began); }},
              {}, randomSeed())
-{ }
+{
+    if (serviceAdmission_)
+        serverClient_->setIdleLimit(
+            [this](const Endpoint &server) { return idleConnectionLimit(server); });
+}
 
 Gateway::~Gateway() = default;
 
--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -140,6 +140,17 @@
     void updateQuarantine(TimePoint now);
     void fetchPeerCopy();
     void applyLimits();
+
+    /** Tells the admission what the servers of each service can take and what is known of its use.
+     */
+    void updateAdmission(TimePoint now);
+
+    /** Demand of callers at this instance and at its group; nothing without admission. */
+    std::optional<DemandByService> ownDemand(TimePoint now) const;
+    std::optional<DemandByService> groupDemand(TimePoint now) const;
+
+    /** Limit of idle connections to a backend server. */
+    std::size_t idleConnectionLimit(const Endpoint &server) const;
     void reload();
     void shutDown();
 
@@ -185,6 +196,13 @@
     bool lastSentReady_ = false;
     std::map<std::uint32_t, ServerId> serverByHash_;
 
+    /** Services of the backend servers by address. */
+    std::map<Endpoint, ServiceId> serviceByAddress_;
+
+    /** Null unless the settings enable it. */
+    std::unique_ptr<ServiceAdmission> serviceAdmission_;
+    DemandTable demand_;
+
     LoadTable loads_;
     ServerHealth health_;
     ServerBackoff backoff_;
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -10,6 +10,7 @@
 #include "jy_runtime/logging/Log.h"
 
 #include <algorithm>
+#include <limits>
 #include <mutex>
 #include <set>
 #include <utility>
@@ -30,6 +31,15 @@
 // that time says nothing about them.
 constexpr milliseconds suspensionThreshold{1500};
 
+// Requests that a server can have at once, for each slot: an engine starts all requests of a batch
+// together, any other server works on one while a second one waits.
+constexpr int requestsPerEngineSlot = 1;
+constexpr int requestsPerServerSlot = 2;
+
+// Part of a server's connection limit that the instances use together; the rest is for differences
+// in their views of the fleet.
+constexpr double connectionLimitUse = 0.8;
+
 // Period to which the setting retrySlack refers.
 constexpr double retryWindowSeconds = 10;
 
@@ -151,12 +161,16 @@
     if (peers_.groupCount() != groups) {
         loads_.clearReports();
         health_.clearReports();
+        demand_.clear();
         logEvent(LogLevel::Info, "groups-changed",
                  {{"groups", peers_.groupCount()}, {"instances", fleet_.instances().size()}});
     }
     serverByHash_.clear();
-    for (const auto &[id, state] : fleet_.servers())
+    serviceByAddress_.clear();
+    for (const auto &[id, state] : fleet_.servers()) {
         serverByHash_[serverHash(id)] = id;
+        serviceByAddress_[state.entry.endpoint] = state.entry.service;
+    }
     applyLimits();
     notifyMirrorChanged();
 }
@@ -238,6 +252,8 @@
         quarantine_.receiveFromGroup(heartbeat.value().parts, now);
         for (const auto &limit : heartbeat.value().serverLimits)
             logLimit(limit, id, rateLimits_.receiveFromGroup(limit, now));
+        if (heartbeat.value().demand)
+            demand_.setGroup(heartbeat.value().group->group, *heartbeat.value().demand, now);
         return;
     }
     if (!peers_.receive(heartbeat.value(), now) || !peers_.inOwnGroup(id))
@@ -246,6 +262,8 @@
         prompts_.addFromPeer(pair, now);
     loads_.setPeerRequests(id, heartbeat.value().requests, now);
     stalls_.setPeerStalled(id, heartbeat.value().stalled, now);
+    if (heartbeat.value().demand)
+        demand_.setInstance(id, *heartbeat.value().demand, now);
     quarantine_.receive(heartbeat.value().parts, now);
     for (const auto &limit : heartbeat.value().serverLimits)
         logLimit(limit, id, rateLimits_.receive(limit, now));
@@ -284,6 +302,7 @@
                               .stalled = stalls_.ownStalled(now),
                               .parts = std::move(parts),
                               .serverLimits = std::move(limits),
+                              .demand = ownDemand(now),
                               .wallTime = std::chrono::system_clock::now()};
     const auto bytes = encodeHeartbeat(heartbeat);
     for (const auto &to : destinations)
@@ -316,6 +335,7 @@
                          .cached = prompts_.takeGroupUpdates(peers_.cachedPromptsPerReport()),
                          .parts = std::move(parts),
                          .serverLimits = std::move(limits),
+                         .demand = groupDemand(now),
                          .group = std::move(report)});
     for (const auto &to : destinations)
         heartbeats_->send(bytes, to);
@@ -351,6 +371,7 @@
                      {{"server", server}, {"reason", "entry did not return"}});
         }
         loads_.expire(now);
+        demand_.expire(now);
         health_.expire(now);
         backoff_.expire(now);
         fleetClock_.expire(bootTime());
@@ -370,7 +391,60 @@
             known.insert(id);
         cold_.retain(known);
         rateLimits_.retain(known);
+        updateAdmission(now);
+    }
+}
+
+std::optional<DemandByService> Gateway::ownDemand(TimePoint now) const
+{
+    if (!serviceAdmission_)
+        return std::nullopt;
+    return serviceAdmission_->demands(now);
+}
+
+std::optional<DemandByService> Gateway::groupDemand(TimePoint now) const
+{
+    if (!serviceAdmission_)
+        return std::nullopt;
+    return demand_.groupSum(serviceAdmission_->demands(now));
+}
+
+void Gateway::updateAdmission(TimePoint now)
+{
+    const auto &config = fleet_.config();
+    if (!serviceAdmission_ || !config)
+        return;
+    DemandTable::Expected expected{.groups = peers_.groupCount() - 1};
+    for (const auto &peer : peers_.alive(now))
+        expected.instances += peers_.inOwnGroup(peer.id) ? 1 : 0;
+    for (const auto &[service, policy] : config->services()) {
+        const int requestsPerSlot =
+            policy.cacheTokens > 0 ? requestsPerEngineSlot : requestsPerServerSlot;
+        FleetUse use;
+        for (const auto *server : fleet_.candidates(service, now)) {
+            use.places += server->entry.slots * requestsPerSlot;
+            use.inFlight += loads_.total(server->entry.id).inFlight;
+        }
+        use.otherDemand =
+            demand_.others(service, serviceAdmission_->demand(service, now), expected);
+        serviceAdmission_->update(service, use, now);
     }
+    serviceAdmission_->retain(
+        [&](const ServiceId &service) { return config->findService(service); });
+}
+
+std::size_t Gateway::idleConnectionLimit(const Endpoint &server) const
+{
+    const auto service = serviceByAddress_.find(server);
+    const auto &config = fleet_.config();
+    const auto *policy = service == serviceByAddress_.end() || !config
+        ? nullptr
+        : config->findService(service->second);
+    if (!policy || policy->maxConnections <= 0)
+        return std::numeric_limits<std::size_t>::max();
+    const double share =
+        policy->maxConnections * connectionLimitUse / static_cast<double>(liveCount_);
+    return std::max<std::size_t>(1, static_cast<std::size_t>(share));
 }
 
 bool Gateway::isFull(const ServerId &server) const
--- a/modules/jy_gateway/relay/RelayDelivery.cpp
+++ b/modules/jy_gateway/relay/RelayDelivery.cpp
@@ -61,6 +61,8 @@
     }
     outcome_.status = response.status;
     outcome_.reason = failed ? "server-failure" : "answered";
+    // The server is done, however slowly the caller reads.
+    place_.release();
     responder_.send(response);
     return Step::Done;
 }
--- a/modules/jy_gateway/relay/RelayEnding.cpp
+++ b/modules/jy_gateway/relay/RelayEnding.cpp
@@ -19,6 +19,51 @@
 
 } // namespace
 
+bool RelayExchange::awaitPlace()
+{
+    auto *admission = relay_.dependencies_.admission;
+    if (!admission)
+        return true;
+    auto place = admission->admit({.service = query_.service,
+                                   .route = route_.name,
+                                   .workspace = workspace_,
+                                   .priority = priority_,
+                                   .latencyTarget = route_.latencyTarget,
+                                   .deadline = deadline_,
+                                   .bytes = request_.body.size()},
+                                  responder_.cancellation());
+    outcome_.waited = Clock::now() - start_;
+    if (place) {
+        place_ = std::move(place.value());
+        return true;
+    }
+    if (place.error().kind == ErrorKind::Cancelled)
+        outcome_.reason = "caller-gone";
+    else
+        sendError(place.error());
+    return false;
+}
+
+bool RelayExchange::takeExtraPlace()
+{
+    auto *admission = relay_.dependencies_.admission;
+    if (!admission || extraPlace_)
+        return true;
+    extraPlace_ = admission->tryExtra(query_.service, workspace_);
+    return extraPlace_.has_value();
+}
+
+bool RelayExchange::hasRoomForRetry() const
+{
+    // Further servers of a service that has too little room would most likely refuse, too.
+    constexpr int maxFullServers = 2;
+    const auto *admission = relay_.dependencies_.admission;
+    const auto now = Clock::now();
+    if (!admission || !admission->contended(query_.service, now))
+        return true;
+    return fullServers_ < maxFullServers && admission->mayRetry(query_.service, priority_, now);
+}
+
 RetryReservation::Hooks RelayExchange::retryHooks()
 {
     return {.takeBudget =
@@ -32,6 +77,9 @@
                     if (relay_.dependencies_.quarantine.check(keys_, Clock::now()))
                         return Placement{};
                     query_.responsiveOnly = responsiveOnly;
+                    // Such an attempt runs beside the current one.
+                    if (responsiveOnly && !takeExtraPlace())
+                        return Placement{};
                     auto placement = place();
                     if (!placement.server.empty())
                         relay_.dependencies_.loads.requestStarted(placement.server);
@@ -60,6 +108,8 @@
 
 bool RelayExchange::mayTryAgain(Step step)
 {
+    if (step != Step::NotSent && !hasRoomForRetry())
+        return false;
     const bool repeatable = step == Step::NotRun || mayRunAgain();
     const auto obstacle = retry_.reserve(retryState(step == Step::NotSent, repeatable), false);
     if (obstacle == RetryObstacle::BudgetSpent)
--- a/modules/jy_gateway/relay/RelayEvidence.cpp
+++ b/modules/jy_gateway/relay/RelayEvidence.cpp
@@ -72,10 +72,28 @@
 
 void RelayExchange::noteBegan(RelayAttempt &attempt, TimePoint time)
 {
+    place_.noteRun();
     if (!std::exchange(attempt.began, true) && relay_.dependencies_.attemptBegan)
         relay_.dependencies_.attemptBegan(workspace_, time);
 }
 
+void RelayExchange::noteStart(const RelayAttempt &attempt, TimePoint time)
+{
+    if (auto *admission = relay_.dependencies_.admission)
+        admission->responseStarted(route_.name, time - attempt.start);
+}
+
+void RelayExchange::noteRefusal(const ResponseMetadata &metadata)
+{
+    auto *admission = relay_.dependencies_.admission;
+    if (!admission || metadata.misdirected || metadata.leaving)
+        return;
+    const auto now = Clock::now();
+    admission->serverFull(query_.service, now);
+    ++fullServers_;
+    lastError_.retryAfter = admission->returnAfter(query_.service, now);
+}
+
 void RelayExchange::applyServerState(const ResponseMetadata &metadata,
                                      const RegisteredServer &server)
 {
@@ -119,6 +137,7 @@
     if (std::exchange(attempt.responseStarted, true))
         return;
     noteBegan(attempt, received);
+    noteStart(attempt, received);
     relay_.dependencies_.loads.responseStarted(server);
     if (query_.affinity != 0)
         relay_.dependencies_.prompts.addFromResponse(query_.affinity, query_.sharedTokens, server,
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -63,6 +63,8 @@
         refuseQuarantined(*wait);
         return outcome_;
     }
+    if (!awaitPlace())
+        return outcome_;
     auto placement = place();
     if (placement.server.empty()) {
         outcome_.placement = placement.reason;
@@ -85,6 +87,7 @@
         }
         if (successor_) {
             current_ = std::exchange(successor_, nullptr);
+            extraPlace_.reset();
             continue;
         }
         if (!mayTryAgain(step)) {
@@ -295,12 +298,15 @@
     attempt.eventStream = stream.status() / 100 == 2 && metadata.eventStream;
     attempt.responseClass = classifyResponse(stream.status(), metadata, metadata_.id);
     // A stream runs from its first token on, everything else once it was sent.
-    if (attempt.responseClass != ResponseClass::NotRun && !metadata.eventStream)
+    if (attempt.responseClass != ResponseClass::NotRun && !metadata.eventStream) {
         noteBegan(attempt, attempt.sentAt);
+        noteStart(attempt, Clock::now());
+    }
     const auto status = "status " + std::to_string(stream.status());
     if (attempt.responseClass == ResponseClass::NotRun) {
         lastError_ = {ErrorKind::NoCapacity, "the backend server refused the request",
                       retryAfter(PlacementReason::AllFull)};
+        noteRefusal(metadata);
         record(attempt, ServerOutcome::Failed);
         return Step::NotRun;
     }
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -81,6 +81,16 @@
     /** Suspends until no fiber of a successor is left. */
     void awaitSuccessorFibers();
 
+    /** Waits for a place at the servers of the service. @returns false after a final response or if
+     * the caller has left */
+    bool awaitPlace();
+
+    /** Takes a place for an attempt beside the current one. @returns whether there is one */
+    bool takeExtraPlace();
+
+    /** Whether one more server may be tried while requests wait for places. */
+    bool hasRoomForRetry() const;
+
     RetryReservation::Hooks retryHooks();
     RetryState retryState(bool unsent, bool repeatable) const;
 
@@ -156,6 +166,12 @@
     void noteBegan(RelayAttempt &attempt, TimePoint time);
     void recordWait(const RelayAttempt &attempt);
 
+    /** Records how long the server took until its response started. */
+    void noteStart(const RelayAttempt &attempt, TimePoint time);
+
+    /** Records that a server did not run the request. */
+    void noteRefusal(const ResponseMetadata &metadata);
+
     Duration timeLeft() const;
 
     /** Time left, at least 1 ms: a wait of zero would miss data that has already arrived. */
@@ -187,6 +203,13 @@
     /** When the last part of a stream arrived. */
     TimePoint lastPart_;
 
+    /** The request's place at the servers, and that of a second attempt beside a silent one. */
+    AdmissionPlace place_;
+    std::optional<AdmissionPlace> extraPlace_;
+
+    /** Number of servers that refused the request for lack of room. */
+    int fullServers_ = 0;
+
     /** Keys of the prompt parts that other requests may share. */
     RequestKeys keys_;
 
--- a/modules/jy_gateway/relay/RelaySuccessor.cpp
+++ b/modules/jy_gateway/relay/RelaySuccessor.cpp
@@ -22,8 +22,11 @@
         return false;
     if (writing_ || successor_)
         return true;
+    if (!hasRoomForRetry())
+        return true;
     const auto obstacle = retry_.reserve(retryState(false, mayRunAgain()), true);
     if (obstacle != RetryObstacle::None) {
+        extraPlace_.reset();
         if (!std::exchange(current_->keptLogged, true))
             logSilence("attempt-kept", toString(obstacle));
         return obstacle == RetryObstacle::BudgetSpent || obstacle == RetryObstacle::NoServer;
@@ -74,6 +77,7 @@
     }
     successor_.reset();
     end(*attempt);
+    extraPlace_.reset();
     startSuccessor();
 }
 
@@ -82,6 +86,7 @@
     const auto dropped = std::exchange(successor_, nullptr);
     if (!dropped)
         return;
+    extraPlace_.reset();
     dropped->cancellation->cancel();
     // Otherwise its fiber ends it.
     if (dropped->opened)
--- a/modules/jy_gateway/relay/RequestRelay.cpp
+++ b/modules/jy_gateway/relay/RequestRelay.cpp
@@ -112,6 +112,7 @@
               {"prompt", outcome.prompt},
               {"holders", outcome.holders},
               {"shared_tokens", outcome.sharedTokens},
+              {"waited_ms", outcome.waited},
               {"first_ms", outcome.firstPart},
               {"pause_ms", outcome.longestPause},
               {"config", config ? config->version : 0},
--- a/modules/jy_gateway/relay/RequestRelay.h
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -7,6 +7,7 @@
 #include "jy_gateway/placement/ServerChooser.h"
 #include "jy_gateway/relay/LogRateLimiter.h"
 #include "jy_gateway/relay/RouteWaits.h"
+#include "jy_gateway/relay/ServiceAdmission.h"
 #include "jy_gateway/rollouts/RolloutTraffic.h"
 #include "jy_http/client/HttpClient.h"
 #include "jy_http/messages/ByteBudget.h"
@@ -32,6 +33,9 @@
     PlacementReason placement = PlacementReason::NoServer;
     int load = 0;
 
+    /** Time for which the request waited for a place at the servers of its service. */
+    Duration waited{0};
+
     /** Time from the request to the first part of its response; 0 before it arrives. */
     Duration firstPart{0};
 
@@ -94,6 +98,9 @@
     const CallerProtocol &protocol;
     Metrics &metrics;
 
+    /** Null if requests are sent without a limit to what the servers can take. */
+    ServiceAdmission *admission = nullptr;
+
     /** Memory limit for the bodies of requests and responses. */
     std::shared_ptr<ByteBudget> bodyBudget;
 
--- a/modules/jy_gateway/settings/GatewaySettings.cpp
+++ b/modules/jy_gateway/settings/GatewaySettings.cpp
@@ -88,6 +88,16 @@
                  "at least one duty, because an address is set");
 }
 
+void GatewayAdmissionSettings::describe(SettingsVisitor &visitor)
+{
+    visitor.flag({"enabled",
+                  "Whether instances share what the servers of a busy service can take, and let "
+                  "requests wait for it; read at the start only."},
+                 enabled);
+    visitor.count({"maxWaiting", "Requests that may wait for the servers of one service."},
+                  maxWaiting, {1, 100'000});
+}
+
 void GatewaySettings::describe(SettingsVisitor &visitor)
 {
     visitor.structure({"instance", "Identity of this instance."}, instance);
@@ -98,6 +108,7 @@
     visitor.structure({"bounds", "Operational bounds set by the deployment."}, bounds);
     visitor.structure({"limits", "Resource limits of this instance."}, limits);
     visitor.structure({"duties", "Duties that one instance at a time performs."}, duties);
+    visitor.structure({"admission", "Admission to services with too little room."}, admission);
     visitor.flag({"rollouts",
                   "Whether this instance analyzes new versions and carries out rollouts; without, "
                   "a new version gets no requests."},
--- a/modules/jy_gateway/settings/GatewaySettings.h
+++ b/modules/jy_gateway/settings/GatewaySettings.h
@@ -85,6 +85,18 @@
     void describe(SettingsVisitor &visitor);
 };
 
+/** Admission of requests to services whose servers have too little room. */
+struct GatewayAdmissionSettings
+{
+    /** Whether instances share the places of a service and let requests wait for them. */
+    bool enabled = false;
+
+    /** Requests that may wait for a place at the servers of one service. */
+    int maxWaiting = 512;
+
+    void describe(SettingsVisitor &visitor);
+};
+
 /** All settings of a gateway process. */
 struct GatewaySettings
 {
@@ -103,6 +115,7 @@
     GatewayBoundSettings bounds;
     GatewayLimitSettings limits;
     GatewayDutySettings duties;
+    GatewayAdmissionSettings admission;
 
     /** Whether this instance carries out rollouts; without, a new version gets no requests. */
     bool rollouts = false;
--- a/tests/jy_core/LimitsTest.cpp
+++ b/tests/jy_core/LimitsTest.cpp
@@ -126,10 +126,20 @@
 {
     return {.ticket = ticket,
             .workspace = WorkspaceId(workspace),
-            .priority = priority,
+            .urgency = static_cast<int>(priority),
             .deadline = start + wait};
 }
 
+using Tickets = std::vector<std::uint64_t>;
+
+Tickets evicted(const Result<std::vector<QueueEntry>> &pushed)
+{
+    Tickets tickets;
+    for (const auto &one : pushed.value())
+        tickets.push_back(one.ticket);
+    return tickets;
+}
+
 // Guards against a workspace with many requests that fills the queue, so that others are refused.
 TEST(LimitsQueue, ServesPriorityThenTheLeastUsedWorkspaceAndEvictsTheMostUsed)
 {
@@ -138,18 +148,18 @@
         inFlight.start(WorkspaceId("large"));
     RequestQueue queue(4);
     for (std::uint64_t i = 1; i <= 4; ++i)
-        EXPECT_FALSE(queue.push(entry(i, "large"), inFlight, 0s, start).value());
+        EXPECT_TRUE(queue.push(entry(i, "large"), inFlight, 0s, start).value().empty());
     EXPECT_EQ(queue.push(entry(5, "large"), inFlight, 0s, start).error().kind,
               ErrorKind::Overloaded);
-    EXPECT_EQ(queue.push(entry(6, "small"), inFlight, 0s, start).value()->ticket, 4U);
-    EXPECT_EQ(queue.push(entry(7, "large", Priority::High), inFlight, 0s, start).value()->ticket,
-              3U);
-    std::vector<std::uint64_t> order;
+    EXPECT_EQ(evicted(queue.push(entry(6, "small"), inFlight, 0s, start)), Tickets{4});
+    EXPECT_EQ(evicted(queue.push(entry(7, "large", Priority::High), inFlight, 0s, start)),
+              Tickets{3});
+    Tickets order;
     while (const auto next = queue.pop(inFlight)) {
         inFlight.start(next->workspace);
         order.push_back(next->ticket);
     }
-    EXPECT_EQ(order, (std::vector<std::uint64_t>{7, 6, 1, 2}));
+    EXPECT_EQ(order, (Tickets{7, 6, 1, 2}));
 }
 
 // Guards against a request that waits until its deadline although it cannot be served by then.
