--- a/modules/jy_core/limits/AdmissionQueue.cpp
+++ b/modules/jy_core/limits/AdmissionQueue.cpp
@@ -24,8 +24,8 @@
 Duration AdmissionQueue::longestWait(const AdmissionRequest &request, TimePoint now)
 {
     const auto spare = request.latencyTarget - request.expectedStart;
-    const auto wait = std::max<Duration>(
-        minLongestWait, std::chrono::duration_cast<Duration>(waitFraction * spare));
+    const auto wait = std::chrono::duration_cast<Duration>(
+        std::max(waitFraction * spare, minWaitFraction * request.latencyTarget));
     return std::min(wait, request.deadline - request.expectedStart - now);
 }
 
--- a/modules/jy_core/limits/AdmissionQueue.h
+++ b/modules/jy_core/limits/AdmissionQueue.h
@@ -62,8 +62,9 @@
      * the target. */
     static constexpr double waitFraction = 0.6;
 
-    /** A wait up to this is allowed even if the target cannot be met. */
-    static constexpr std::chrono::milliseconds minLongestWait{20};
+    /** A wait up to this fraction of the target is allowed even if the target is then missed:
+     * otherwise requests with a short target would be refused while less urgent ones wait. */
+    static constexpr double minWaitFraction = 0.25;
 
     struct Limits
     {
--- a/modules/jy_core/limits/CapacityShare.cpp
+++ b/modules/jy_core/limits/CapacityShare.cpp
@@ -39,8 +39,12 @@
     const double own = demand(now);
     const double fleet = own + use_.otherDemand;
     share_ = fleet > 0 ? use_.places * own / fleet : use_.places;
+    const Seconds passed = std::max(Duration::zero(), now - updatedAt_);
+    const double weight = 1 - std::exp(-passed / Seconds(inFlightTimeConstant));
+    fleetInFlight_ += weight * (use_.inFlight - fleetInFlight_);
+    updatedAt_ = now;
     const double threshold = contentionThreshold * use_.places;
-    if (use_.places > 0 && (use_.inFlight >= threshold || fleet * serviceSeconds_ >= threshold))
+    if (use_.places > 0 && (fleetInFlight_ >= threshold || fleet * serviceSeconds_ >= threshold))
         noteContention(now);
 }
 
--- a/modules/jy_core/limits/CapacityShare.h
+++ b/modules/jy_core/limits/CapacityShare.h
@@ -30,7 +30,11 @@
 {
 public:
     /** Fraction of the places in use or in demand at which the service becomes contended. */
-    static constexpr double contentionThreshold = 0.7;
+    static constexpr double contentionThreshold = 0.85;
+
+    /** Time constant of the moving average of the requests in flight, so that a few requests at the
+     * same moment are no contention. */
+    static constexpr std::chrono::milliseconds inFlightTimeConstant{500};
 
     /** Time for which a service stays contended after the last sign of contention. */
     static constexpr std::chrono::milliseconds contentionHold{2000};
@@ -97,6 +101,11 @@
 
     double phase_;
     FleetUse use_;
+    TimePoint updatedAt_;
+
+    /** Moving average of FleetUse::inFlight. */
+    double fleetInFlight_ = 0;
+
     int inFlight_ = 0;
 
     /** Demand at demandAt_. */
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -422,6 +422,8 @@
             policy.cacheTokens > 0 ? requestsPerEngineSlot : requestsPerServerSlot;
         FleetUse use;
         for (const auto *server : fleet_.candidates(service, now)) {
+            if (health_.isExcluded(server->entry.id, now))
+                continue;
             use.places += server->entry.slots * requestsPerSlot;
             use.inFlight += loads_.total(server->entry.id).inFlight;
         }
