--- a/modules/jy_core/limits/AdmissionQueue.cpp
+++ b/modules/jy_core/limits/AdmissionQueue.cpp
@@ -21,27 +21,40 @@
     , queue_(limits.maxWaiting, limits.maxWaitingBytes)
 { }
 
-Duration AdmissionQueue::longestWait(const AdmissionRequest &request, TimePoint now)
+Duration AdmissionQueue::longestWait(const AdmissionRequest &request, TimePoint now) const
 {
     const auto spare = request.latencyTarget - request.expectedStart;
-    const auto wait = std::chrono::duration_cast<Duration>(
-        std::max(waitFraction * spare, minWaitFraction * request.latencyTarget));
+    const auto wait = share_.overloaded(now) ? std::chrono::duration_cast<Duration>(
+                          std::max(waitFraction * spare, minWaitFraction * request.latencyTarget))
+                                             : request.latencyTarget;
     return std::min(wait, request.deadline - request.expectedStart - now);
 }
 
+TimePoint AdmissionQueue::precedence(const AdmissionRequest &request, Duration wait, TimePoint now)
+{
+    // A retried request has less time left, and so precedes new ones with the same wait.
+    const std::chrono::duration<double> left = std::max(wait, request.deadline - now);
+    const std::chrono::duration<double> limit = wait;
+    const double factor = left.count() > 0 ? left / (left + limit) : 0;
+    return now + std::chrono::duration_cast<Duration>(factor * wait);
+}
+
 std::vector<AdmissionDecision> AdmissionQueue::enter(const AdmissionRequest &request, TimePoint now)
 {
     share_.requestArrived(now);
     if (queue_.empty() && share_.available(now)) {
+        if (!share_.contended(now))
+            returns_.reset();
         take(request.workspace, now);
         return {{request.ticket, std::nullopt}};
     }
+    const auto wait = longestWait(request, now);
     const auto pushed = queue_.push({.ticket = request.ticket,
                                      .workspace = request.workspace,
                                      .weight = request.weight,
                                      .urgency = urgencyOf(request.priority),
-                                     .deadline = now + longestWait(request, now),
-                                     .precedence = request.deadline,
+                                     .deadline = now + wait,
+                                     .precedence = precedence(request, wait, now),
                                      .bytes = request.bytes},
                                     inFlight_, share_.placeInterval(), now);
     if (!pushed)
--- a/modules/jy_core/limits/AdmissionQueue.h
+++ b/modules/jy_core/limits/AdmissionQueue.h
@@ -52,14 +52,16 @@
  *
  * The load that this answers: callers that send more than the servers of the service can take. A
  * place that becomes free is given at once, by priority, then to the workspace with the fewest
- * requests in flight, then by time left. A request that would wait too long to meet its latency
- * target is refused on arrival: were it served late, those behind it would be late, too.
+ * requests in flight, then to the request whose longest wait ends first. A request that would wait
+ * too long to meet its latency target is refused on arrival: were it served late, those behind it
+ * would be late, too.
  */
 class AdmissionQueue
 {
 public:
-    /** Longest wait as a fraction of the time by which the servers are expected to be faster than
-     * the target. */
+    /** Longest wait under overload, as a fraction of the time by which the servers are expected to
+     * be faster than the target. Without overload the queue drains, and a request may wait for as
+     * long as its target: it would come back later if it were refused. */
     static constexpr double waitFraction = 0.6;
 
     /** A wait up to this fraction of the target is allowed even if the target is then missed:
@@ -115,7 +117,10 @@
     std::size_t waiting() const { return queue_.size(); }
 
 private:
-    static Duration longestWait(const AdmissionRequest &request, TimePoint now);
+    Duration longestWait(const AdmissionRequest &request, TimePoint now) const;
+
+    /** Time by which the request should be admitted; the earliest comes first in its workspace. */
+    static TimePoint precedence(const AdmissionRequest &request, Duration wait, TimePoint now);
     void take(const WorkspaceId &workspace, TimePoint now);
     AdmissionDecision refuse(std::uint64_t ticket, TimePoint now);
     void admitWaiting(TimePoint now, std::vector<AdmissionDecision> &decisions);
--- a/modules/jy_core/limits/CapacityShare.cpp
+++ b/modules/jy_core/limits/CapacityShare.cpp
@@ -44,7 +44,9 @@
     fleetInFlight_ += weight * (use_.inFlight - fleetInFlight_);
     updatedAt_ = now;
     const double threshold = contentionThreshold * use_.places;
-    if (use_.places > 0 && (fleetInFlight_ >= threshold || fleet * serviceSeconds_ >= threshold))
+    const bool inDemand =
+        fleet * serviceSeconds_ >= threshold && fleetInFlight_ >= minimumUse * use_.places;
+    if (use_.places > 0 && (fleetInFlight_ >= threshold || inDemand))
         noteContention(now);
 }
 
@@ -67,6 +69,12 @@
     return contendedUntil_ && now < *contendedUntil_;
 }
 
+bool CapacityShare::overloaded(TimePoint now) const
+{
+    const double fleet = demand(now) + use_.otherDemand;
+    return contended(now) && fleet * serviceSeconds_ > use_.places;
+}
+
 int CapacityShare::wholePlaces() const
 {
     return static_cast<int>(std::floor(share_));
--- a/modules/jy_core/limits/CapacityShare.h
+++ b/modules/jy_core/limits/CapacityShare.h
@@ -32,6 +32,10 @@
     /** Fraction of the places in use or in demand at which the service becomes contended. */
     static constexpr double contentionThreshold = 0.85;
 
+    /** Fraction of the places that must be in use for a high demand to count: the demand in places
+     * depends on the time of a few requests, which varies. */
+    static constexpr double minimumUse = 0.5;
+
     /** Time constant of the moving average of the requests in flight, so that a few requests at the
      * same moment are no contention. */
     static constexpr std::chrono::milliseconds inFlightTimeConstant{500};
@@ -73,6 +77,9 @@
     /** Whether the demand exceeds what the servers can take, so that the limit applies. */
     bool contended(TimePoint now) const;
 
+    /** Whether callers send more than the servers can take, so that waiting requests accumulate. */
+    bool overloaded(TimePoint now) const;
+
     /** Places of this instance; may be a fraction. */
     double share() const;
 
--- a/modules/jy_core/limits/ReturnSchedule.h
+++ b/modules/jy_core/limits/ReturnSchedule.h
@@ -30,6 +30,9 @@
      */
     std::chrono::milliseconds next(Duration placeInterval, double draw, TimePoint now);
 
+    /** Forgets the times assigned so far; called once there is room for everybody. */
+    void reset() { last_ = {}; }
+
 private:
     TimePoint last_;
 };
