--- a/modules/jy_core/limits/CapacityShare.cpp
+++ b/modules/jy_core/limits/CapacityShare.cpp
@@ -43,13 +43,18 @@
     const double weight = 1 - std::exp(-passed / Seconds(inFlightTimeConstant));
     fleetInFlight_ += weight * (use_.inFlight - fleetInFlight_);
     updatedAt_ = now;
-    const double threshold = contentionThreshold * use_.places;
-    const bool inDemand =
-        fleet * serviceSeconds_ >= threshold && fleetInFlight_ >= minimumUse * use_.places;
-    if (use_.places > 0 && (fleetInFlight_ >= threshold || inDemand))
+    const bool isUsed = fleetInFlight_ >= contentionThreshold * use_.places;
+    const bool willBeUsed = inDemand(now) && fleetInFlight_ >= minimumUse * use_.places;
+    if (use_.places > 0 && (isUsed || willBeUsed))
         noteContention(now);
 }
 
+bool CapacityShare::inDemand(TimePoint now) const
+{
+    const double fleet = demand(now) + use_.otherDemand;
+    return fleet * serviceSeconds_ >= contentionThreshold * use_.places;
+}
+
 void CapacityShare::serverFull(TimePoint now)
 {
     noteContention(now);
@@ -71,8 +76,7 @@
 
 bool CapacityShare::overloaded(TimePoint now) const
 {
-    const double fleet = demand(now) + use_.otherDemand;
-    return contended(now) && fleet * serviceSeconds_ > use_.places;
+    return contended(now) && inDemand(now);
 }
 
 int CapacityShare::wholePlaces() const
--- a/modules/jy_core/limits/CapacityShare.h
+++ b/modules/jy_core/limits/CapacityShare.h
@@ -77,7 +77,8 @@
     /** Whether the demand exceeds what the servers can take, so that the limit applies. */
     bool contended(TimePoint now) const;
 
-    /** Whether callers send more than the servers can take, so that waiting requests accumulate. */
+    /** Whether callers send about as much as the servers can take or more, so that waiting requests
+     * accumulate. */
     bool overloaded(TimePoint now) const;
 
     /** Places of this instance; may be a fraction. */
@@ -104,6 +105,9 @@
     /** Requests that the paced fraction of a place allows at @p now; at most 1. */
     double savedStarts(TimePoint now) const;
 
+    /** Whether the requests of all callers would take most of the places. */
+    bool inDemand(TimePoint now) const;
+
     void noteContention(TimePoint now);
 
     double phase_;
