--- a/modules/jy_core/limits/CapacityShare.cpp
+++ b/modules/jy_core/limits/CapacityShare.cpp
@@ -14,9 +14,13 @@
 constexpr double serviceTimeWeight = 0.05;
 constexpr std::chrono::milliseconds serviceTimeConstant{1000};
 
+// Longest result of toDuration(). The share of an instance without callers is next to zero, which
+// gives times beyond the range of the clock.
+constexpr Seconds longestDuration{3600};
+
 Duration toDuration(double seconds)
 {
-    return std::chrono::duration_cast<Duration>(Seconds(seconds));
+    return std::chrono::duration_cast<Duration>(std::min(Seconds(seconds), longestDuration));
 }
 
 } // namespace
