Give out free places before a new request is judged

Cause: places also become free without a request ending: by pacing, and when the contention ends. Change: enter() first admits the requests that wait, then judges the new one by what is left. Measured: GivesOutFreePlacesBeforeItRefuses and the property NoPlaceIsLostOrGivenTwice (no place may be free while requests wait) failed before the change and pass with it.

--- a/modules/jy_core/limits/AdmissionQueue.cpp
+++ b/modules/jy_core/limits/AdmissionQueue.cpp
@@ -32,9 +32,13 @@
 std::vector<AdmissionDecision> AdmissionQueue::enter(const AdmissionRequest &request, TimePoint now)
 {
     share_.requestArrived(now);
+    std::vector<AdmissionDecision> decisions;
+    // Places become free with time, too; requests that get one are not ahead of this one.
+    admitWaiting(now, decisions);
     if (queue_.empty() && share_.available(now)) {
         take(request.workspace, now);
-        return {{request.ticket, std::nullopt}};
+        decisions.push_back({request.ticket, std::nullopt});
+        return decisions;
     }
     const auto pushed = queue_.push({.ticket = request.ticket,
                                      .workspace = request.workspace,
@@ -44,12 +48,12 @@
                                      .precedence = request.deadline,
                                      .bytes = request.bytes},
                                     inFlight_, share_.placeInterval(), now);
-    if (!pushed)
-        return {refuse(request.ticket, now)};
-    std::vector<AdmissionDecision> decisions;
+    if (!pushed) {
+        decisions.push_back(refuse(request.ticket, now));
+        return decisions;
+    }
     for (const auto &removed : pushed.value())
         decisions.push_back(refuse(removed.ticket, now));
-    admitWaiting(now, decisions);
     for (const auto &removed : queue_.removeHopeless(inFlight_, share_.placeInterval(), now))
         decisions.push_back(refuse(removed.ticket, now));
     return decisions;
--- a/tests/jy_core/AdmissionQueueTest.cpp
+++ b/tests/jy_core/AdmissionQueueTest.cpp
@@ -1,10 +1,12 @@
 #include "jy_core/limits/AdmissionQueue.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <algorithm>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 
 using namespace std::chrono_literals;
@@ -316,6 +318,18 @@
     EXPECT_EQ(one.queue.share().inFlight(), 0);
 }
 
+// Guards against a request that is refused although a place is free, because those that wait are
+// counted before they get theirs.
+TEST(AdmissionQueueTest, GivesOutFreePlacesBeforeItRefuses)
+{
+    OnePlace one;
+    one.now = start + CapacityShare::contentionHold - 1ms;
+    EXPECT_TRUE(one.enter(1).empty());
+    EXPECT_TRUE(one.enter(2).empty());
+    one.now += 1ms;
+    EXPECT_EQ(one.admitted(one.enter(3)), (Tickets{1, 2, 3}));
+}
+
 // Guards against times beyond the range of the clock when an idle instance has next to no share.
 TEST(AdmissionQueueTest, AnIdleInstanceHasALongButFiniteInterval)
 {
@@ -349,4 +363,86 @@
     EXPECT_EQ(unknown.next(0s, 0.5, start), 2 * ReturnSchedule::defaultInterval);
 }
 
+// Guards against a place that is lost or given twice, a request that is decided on twice or never,
+// and places that stay free while requests wait.
+RC_GTEST_PROP(AdmissionQueueTest, NoPlaceIsLostOrGivenTwice, ())
+{
+    AdmissionQueue queue(
+        {.maxWaiting = *rc::gen::inRange<std::size_t>(1, 12), .maxWaitingBytes = 1000},
+        [] { return 0.5; });
+    std::set<std::uint64_t> waiting;
+    std::vector<WorkspaceId> running;
+    std::map<std::uint64_t, WorkspaceId> workspaces;
+    auto now = start;
+    const auto apply = [&](const std::vector<AdmissionDecision> &decisions) {
+        for (const auto &decision : decisions) {
+            RC_ASSERT(waiting.erase(decision.ticket) == 1U);
+            if (!decision.refusal)
+                running.push_back(workspaces.at(decision.ticket));
+        }
+        RC_ASSERT(queue.waiting() == waiting.size());
+        RC_ASSERT(queue.share().inFlight() == static_cast<int>(running.size()));
+        RC_ASSERT(waiting.empty() || !queue.share().available(now));
+    };
+    const auto finish = [&](std::size_t index) {
+        const auto workspace = running[index];
+        running.erase(running.begin() + static_cast<std::ptrdiff_t>(index));
+        apply(queue.finish(workspace, *rc::gen::elementOf(std::vector<Duration>{0s, 5ms, 40ms}),
+                           now));
+    };
+    const auto length = *rc::gen::inRange(1, 200);
+    for (int i = 1; i <= length; ++i) {
+        now += *rc::gen::elementOf(std::vector<Duration>{0s, 1us, 3ms, 50ms, 3s});
+        const auto ticket = static_cast<std::uint64_t>(i);
+        switch (*rc::gen::inRange(0, 9)) {
+        case 0:
+            queue.share().update({.places = *rc::gen::inRange(0, 8),
+                                  .inFlight = *rc::gen::inRange(0, 10),
+                                  .otherDemand = *rc::gen::inRange(0, 100) / 1.0},
+                                 now);
+            apply(queue.advance(now));
+            break;
+        case 1:
+            queue.share().serverFull(now);
+            apply(queue.advance(now));
+            break;
+        case 2:
+            if (!waiting.empty()) {
+                const auto left =
+                    *rc::gen::elementOf(std::vector<std::uint64_t>(waiting.begin(), waiting.end()));
+                queue.leave(left);
+                waiting.erase(left);
+            }
+            apply(queue.advance(now));
+            break;
+        case 3:
+            if (queue.tryExtra(WorkspaceId("0"), now))
+                running.emplace_back("0");
+            apply(queue.advance(now));
+            break;
+        case 4:
+        case 5:
+            if (!running.empty())
+                finish(*rc::gen::inRange<std::size_t>(0, running.size()));
+            break;
+        default:
+            workspaces[ticket] = WorkspaceId(std::to_string(*rc::gen::inRange(0, 3)));
+            waiting.insert(ticket);
+            apply(queue.enter({.ticket = ticket,
+                               .workspace = workspaces[ticket],
+                               .priority = *rc::gen::inRange(0, 3),
+                               .expectedStart = milliseconds(*rc::gen::inRange(0, 50)),
+                               .latencyTarget = milliseconds(*rc::gen::inRange(0, 500)),
+                               .deadline = now + milliseconds(*rc::gen::inRange(-10, 1000)),
+                               .bytes = *rc::gen::inRange<std::size_t>(0, 600)},
+                              now));
+        }
+    }
+    while (!running.empty())
+        finish(0);
+    now += 1min;
+    apply(queue.advance(now));
+    RC_ASSERT(waiting.empty() && !queue.nextAt(now));
+}
+
 } // namespace
