Let large requests wait beside small ones when the queue is full by bytes

Cause: the limit in bytes was compared with the size of each request, so that small requests filled what large ones left and no large one fitted. Change: a waiting request counts with at least the mean size of those that found no free place. The limit still holds for the real bytes. AdmissionFairnessTest/Sizes failed before the change and passes with it.

--- a/modules/jy_core/limits/AdmissionQueue.cpp
+++ b/modules/jy_core/limits/AdmissionQueue.cpp
@@ -46,7 +46,7 @@
                                      .urgency = urgencyOf(request.priority),
                                      .deadline = now + longestWait(request, now),
                                      .precedence = request.deadline,
-                                     .bytes = request.bytes},
+                                     .bytes = countedBytes(request.bytes)},
                                     inFlight_, share_.placeInterval(), now);
     if (!pushed) {
         decisions.push_back(refuse(request.ticket, now));
@@ -59,6 +59,12 @@
     return decisions;
 }
 
+std::size_t AdmissionQueue::countedBytes(std::size_t bytes)
+{
+    meanBytes_ += meanBytesWeight * (static_cast<double>(bytes) - meanBytes_);
+    return std::max(bytes, static_cast<std::size_t>(meanBytes_));
+}
+
 void AdmissionQueue::leave(std::uint64_t ticket)
 {
     queue_.cancel(ticket);
--- a/modules/jy_core/limits/AdmissionQueue.h
+++ b/modules/jy_core/limits/AdmissionQueue.h
@@ -66,6 +66,9 @@
      * otherwise requests with a short target would be refused while less urgent ones wait. */
     static constexpr double minWaitFraction = 0.25;
 
+    /** Weight of one request in the mean of their sizes. */
+    static constexpr double meanBytesWeight = 0.05;
+
     struct Limits
     {
         std::size_t maxWaiting = 512;
@@ -120,11 +123,18 @@
     AdmissionDecision refuse(std::uint64_t ticket, TimePoint now);
     void admitWaiting(TimePoint now, std::vector<AdmissionDecision> &decisions);
 
+    /** What a waiting request counts against Limits::maxWaitingBytes: at least the mean of all, as
+     * otherwise small requests would fill what large ones leave, and no large one would fit. */
+    std::size_t countedBytes(std::size_t bytes);
+
     std::function<double()> draw_;
     CapacityShare share_;
     FairShare inFlight_;
     RequestQueue queue_;
     ReturnSchedule returns_;
+
+    /** Moving average of the sizes of requests that found no free place. */
+    double meanBytes_ = 0;
 };
 
 } // namespace jy
--- a/tests/jy_core/AdmissionQueueTest.cpp
+++ b/tests/jy_core/AdmissionQueueTest.cpp
@@ -202,6 +202,12 @@
     Classes, AdmissionFairnessTest,
     testing::Values(
         FairnessCase{"Workspaces", {{"a", 400}, {"b", 400}, {"c", 400}, {"d", 400}}, {}},
+        FairnessCase{"Sizes",
+                     {{"a", 400, 0, 1000},
+                      {"a", 400, 0, 64'000},
+                      {"b", 400, 0, 1000},
+                      {"b", 400, 0, 64'000}},
+                     {.maxWaitingBytes = 500'000}},
         FairnessCase{"FullQueue", {{"a", 800}, {"b", 800}}, {.maxWaiting = 8}}),
     [](const auto &info) { return info.param.name; });
 
