--- a/modules/jy_core/limits/AdmissionQueue.cpp
+++ b/modules/jy_core/limits/AdmissionQueue.cpp
@@ -42,11 +42,15 @@
 std::vector<AdmissionDecision> AdmissionQueue::enter(const AdmissionRequest &request, TimePoint now)
 {
     share_.requestArrived(now);
+    std::vector<AdmissionDecision> decisions;
+    // Places become free with time, too; requests that get one are not ahead of this one.
+    admitWaiting(now, decisions);
     if (queue_.empty() && share_.available(now)) {
         if (!share_.contended(now))
             returns_.reset();
         take(request.workspace, now);
-        return {{request.ticket, std::nullopt}};
+        decisions.push_back({request.ticket, std::nullopt});
+        return decisions;
     }
     const auto wait = longestWait(request, now);
     const auto pushed = queue_.push({.ticket = request.ticket,
@@ -55,19 +59,25 @@
                                      .urgency = urgencyOf(request.priority),
                                      .deadline = now + wait,
                                      .precedence = precedence(request, wait, now),
-                                     .bytes = request.bytes},
+                                     .bytes = countedBytes(request.bytes)},
                                     inFlight_, share_.placeInterval(), now);
-    if (!pushed)
-        return {refuse(request.ticket, now)};
-    std::vector<AdmissionDecision> decisions;
+    if (!pushed) {
+        decisions.push_back(refuse(request.ticket, now));
+        return decisions;
+    }
     for (const auto &removed : pushed.value())
         decisions.push_back(refuse(removed.ticket, now));
-    admitWaiting(now, decisions);
     for (const auto &removed : queue_.removeHopeless(inFlight_, share_.placeInterval(), now))
         decisions.push_back(refuse(removed.ticket, now));
     return decisions;
 }
 
+std::size_t AdmissionQueue::countedBytes(std::size_t bytes)
+{
+    meanBytes_ += meanBytesWeight * (static_cast<double>(bytes) - meanBytes_);
+    return std::max(bytes, static_cast<std::size_t>(meanBytes_));
+}
+
 void AdmissionQueue::leave(std::uint64_t ticket)
 {
     queue_.cancel(ticket);
--- a/modules/jy_core/limits/CapacityShare.cpp
+++ b/modules/jy_core/limits/CapacityShare.cpp
@@ -14,9 +14,13 @@
 constexpr double serviceTimeWeight = 0.05;
 constexpr std::chrono::milliseconds serviceTimeConstant{1000};
 
+// Longest result of toDuration(). The share of an instance without callers is next to zero, which
+// gives times beyond the range of the clock.
+constexpr Seconds longestDuration{3600};
+
 Duration toDuration(double seconds)
 {
-    return std::chrono::duration_cast<Duration>(Seconds(seconds));
+    return std::chrono::duration_cast<Duration>(std::min(Seconds(seconds), longestDuration));
 }
 
 } // namespace
@@ -25,6 +29,14 @@
 {
     demand_ = demand(now) + 1 / Seconds(demandTimeConstant).count();
     demandAt_ = std::max(demandAt_, now);
+    updateShare(now);
+}
+
+void CapacityShare::updateShare(TimePoint now)
+{
+    const double own = demand(now);
+    const double fleet = own + use_.otherDemand;
+    share_ = fleet > 0 ? use_.places * own / fleet : use_.places;
 }
 
 double CapacityShare::demand(TimePoint now) const
@@ -36,9 +48,7 @@
 void CapacityShare::update(const FleetUse &use, TimePoint now)
 {
     use_ = use;
-    const double own = demand(now);
-    const double fleet = own + use_.otherDemand;
-    share_ = fleet > 0 ? use_.places * own / fleet : use_.places;
+    updateShare(now);
     const Seconds passed = std::max(Duration::zero(), now - updatedAt_);
     const double weight = 1 - std::exp(-passed / Seconds(inFlightTimeConstant));
     fleetInFlight_ += weight * (use_.inFlight - fleetInFlight_);
--- a/modules/jy_core/limits/CapacityShare.h
+++ b/modules/jy_core/limits/CapacityShare.h
@@ -110,6 +110,10 @@
 
     void noteContention(TimePoint now);
 
+    /** Divides the places by the demand as of @p now. An instance that was idle would otherwise
+     * have no share for its first requests until the next update(). */
+    void updateShare(TimePoint now);
+
     double phase_;
     FleetUse use_;
     TimePoint updatedAt_;
