Do not look up a service in an admission that has ended

Cause: the handler of the timer looked the service up before it checked whether it was cancelled. The admission cancels its timers when a wait ends and when it is destroyed, and the loop runs the handlers afterwards: they read the freed map. Change: the handler checks first, by the error and by a weak pointer, as a timer that has expired reports no error. ServiceAdmissionTest runs the waits, retries and second attempts of a relay with admission, and the fixture checks that every place was given back.

--- a/modules/jy_gateway/relay/ServiceAdmission.cpp
+++ b/modules/jy_gateway/relay/ServiceAdmission.cpp
@@ -154,13 +154,16 @@
         return;
     }
     service.timer.expires_at(*next);
-    service.timer.async_wait([this, id](boost::system::error_code error) {
-        const auto found = services_.find(id);
-        if (error || found == services_.end())
-            return;
-        const auto expired = Clock::now();
-        apply(id, *found->second, found->second->queue.advance(expired), expired);
-    });
+    service.timer.async_wait(
+        [this, id, alive = std::weak_ptr(alive_)](boost::system::error_code error) {
+            if (error || alive.expired())
+                return;
+            const auto found = services_.find(id);
+            if (found == services_.end())
+                return;
+            const auto expired = Clock::now();
+            apply(id, *found->second, found->second->queue.advance(expired), expired);
+        });
 }
 
 void ServiceAdmission::showWaiting(const ServiceId &id, const Service &service)
--- a/modules/jy_gateway/relay/ServiceAdmission.h
+++ b/modules/jy_gateway/relay/ServiceAdmission.h
@@ -155,6 +155,9 @@
 
     /** Moving averages in seconds. */
     std::unordered_map<std::string, double> startSeconds_;
+
+    /** Expires with this object; handlers of its timers may run later. */
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace jy
--- a/tests/jy_gateway/RelayFixture.h
+++ b/tests/jy_gateway/RelayFixture.h
@@ -59,13 +59,16 @@
 class RelayFixture
 {
 public:
-    explicit RelayFixture(EventLoop &loop)
+    /** @param admission limits of the requests that wait for places; nothing if none do */
+    explicit RelayFixture(EventLoop &loop,
+                          std::optional<AdmissionQueue::Limits> admission = std::nullopt)
         : loop_(loop)
         , client_(HttpClient::create(loop, {.connectTimeout = milliseconds(300)}))
         , cold_(InstanceId("self"))
         , rateLimits_(InstanceId("self"))
         , chooser_(fleet, loads_, health_, backoff_, stalls, cold_, rateLimits_)
         , protocol_(testProtocol())
+        , admission_(loop, metrics_, admission.value_or(AdmissionQueue::Limits{}), 1)
         , relay_({.loop = loop_,
                   .client = *client_,
                   .fleet = fleet,
@@ -80,6 +83,7 @@
                   .rollouts = rollouts,
                   .protocol = protocol_,
                   .metrics = metrics_,
+                  .admission = admission ? &admission_ : nullptr,
                   .bodyBudget = budget,
                   .awaitConfig = [this](milliseconds longest) { awaitConfig(longest); },
                   .readyAfter = [] { return milliseconds(700); },
@@ -98,8 +102,23 @@
         for (auto &backend : backends_)
             backend->stop();
         EXPECT_TRUE(loads_.own().empty()) << "a request in flight was not counted as finished";
+        admission_.retain([](const ServiceId &) { return false; });
+        EXPECT_TRUE(admission_.demands(std::chrono::steady_clock::now()).empty())
+            << "a place was not given back";
     }
 
+    ServiceAdmission &admission() { return admission_; }
+
+    /** Makes the service contended, with places for so many requests. */
+    void limitTo(int places)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        admission_.update(desk, {.places = places}, now);
+        admission_.serverFull(desk, now);
+    }
+
+    bool contended() const { return admission_.contended(desk, std::chrono::steady_clock::now()); }
+
     void configure(Route route, bool withKey = false)
     {
         auto config = twoServices();
@@ -127,11 +146,12 @@
         addRegistration(endpoint);
     }
 
-    Result<HttpResponse> call(HttpHeaders headers = {{"Id", "r1"}}, const std::string &path = "/x")
+    Result<HttpResponse> call(HttpHeaders headers = {{"Id", "r1"}}, const std::string &path = "/x",
+                              milliseconds limit = callLimit)
     {
         headers.add("Host", "h");
         return client_->request(server_->localEndpoint(),
-                                {.method = "POST", .target = path, .headers = headers}, callLimit,
+                                {.method = "POST", .target = path, .headers = headers}, limit,
                                 {.keepHost = true});
     }
 
@@ -204,6 +224,7 @@
     PromptCacheIndex prompts_;
     CallerProtocol protocol_;
     Metrics metrics_;
+    ServiceAdmission admission_;
     RequestRelay relay_;
     std::unique_ptr<HttpServer> server_;
     std::vector<std::unique_ptr<HttpServer>> backends_;
@@ -211,11 +232,12 @@
 };
 
 /** Runs a test body in a fiber with a fixture. */
-inline void withRelay(const std::function<void(RelayFixture &)> &body)
+inline void withRelay(const std::function<void(RelayFixture &)> &body,
+                      std::optional<AdmissionQueue::Limits> admission = std::nullopt)
 {
     EventLoop loop;
     loop.run([&] {
-        RelayFixture fixture(loop);
+        RelayFixture fixture(loop, admission);
         body(fixture);
     });
 }
