Count a connection closed before a response as a lack of room

Cause: servers reset connections above their limit. Change: a connection that was established and ends before the head of a response, also before the first byte of the request was written, is reported to the admission. Measured: FullServerTest/ClosesBeforeItsResponse failed before the change and passes with it. The response to a request that was written and may run only once stays 502.

--- a/modules/jy_gateway/relay/RelayEvidence.cpp
+++ b/modules/jy_gateway/relay/RelayEvidence.cpp
@@ -94,6 +94,16 @@
     lastError_.retryAfter = admission->returnAfter(query_.service, now);
 }
 
+void RelayExchange::noteClosed(const RelayAttempt &attempt, const Error &error)
+{
+    auto *admission = relay_.dependencies_.admission;
+    const bool connected = attempt.sentAt != TimePoint();
+    if (!admission || !connected || *attempt.opened)
+        return;
+    if (error.kind == ErrorKind::BackendBroken || error.kind == ErrorKind::ConnectFailed)
+        admission->serverFull(query_.service, Clock::now());
+}
+
 void RelayExchange::applyServerState(const ResponseMetadata &metadata,
                                      const RegisteredServer &server)
 {
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -240,6 +240,7 @@
 RelayExchange::Step RelayExchange::fail(RelayAttempt &attempt, const Error &error)
 {
     lastError_ = error;
+    noteClosed(attempt, error);
     const auto waited = Clock::now() - attempt.start;
     switch (error.kind) {
     case ErrorKind::Cancelled:
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -172,6 +172,10 @@
     /** Records that a server did not run the request. */
     void noteRefusal(const ResponseMetadata &metadata);
 
+    /** Records that a server closed an established connection before a response, as servers do
+     * above their connection limit. */
+    void noteClosed(const RelayAttempt &attempt, const Error &error);
+
     Duration timeLeft() const;
 
     /** Time left, at least 1 ms: a wait of zero would miss data that has already arrived. */
--- a/tests/jy_gateway/ServiceAdmissionTest.cpp
+++ b/tests/jy_gateway/ServiceAdmissionTest.cpp
@@ -222,19 +222,21 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Servers, FullServerTest,
-    testing::Values(FullServerCase{"Refuses",
-                                   [](auto &relay, const auto &) {
-                                       relay.addBackend(refuseWith({}));
-                                   },
-                                   503, true},
-                    FullServerCase{"Leaves",
-                                   [](auto &relay, const auto &) {
-                                       relay.addBackend(refuseWith({{"Leaving", "1"}}));
-                                   },
-                                   503, false},
-                    FullServerCase{"ConnectionRefused",
-                                   [](auto &relay, const auto &) { relay.addUnreachableBackend(); },
-                                   503, false}),
+    testing::Values(
+        FullServerCase{"Refuses",
+                       [](auto &relay, const auto &) { relay.addBackend(refuseWith({})); }, 503,
+                       true},
+        FullServerCase{"Leaves",
+                       [](auto &relay, const auto &) {
+                           relay.addBackend(refuseWith({{"Leaving", "1"}}));
+                       },
+                       503, false},
+        FullServerCase{"ConnectionRefused",
+                       [](auto &relay, const auto &) { relay.addUnreachableBackend(); }, 503,
+                       false},
+        FullServerCase{"ClosesBeforeItsResponse",
+                       [](auto &relay, const auto &closing) { relay.registerBackend(closing); },
+                       502, true}),
     [](const auto &info) { return info.param.name; });
 
 // Guards against a timer of a waiting request that runs after the admission has ended.
