Test that an interrupted wait ends and gives everything back

Cause: the end of a shutdown interrupts requests, which may wait for a place; no test covered that. The test of a full queue also checked its values while requests still ran, so that a failure ended the process. Change: AWaitEndsWithAnInterruption; awaitAll() waits for the servers, too, because their handlers refer to the run.

--- a/tests/jy_gateway/RelayFixture.h
+++ b/tests/jy_gateway/RelayFixture.h
@@ -117,6 +117,9 @@
         admission_.serverFull(desk, now);
     }
 
+    /** Ends the requests of callers, as the end of a shutdown does. */
+    void interrupt() { server_->interrupt(milliseconds(100)); }
+
     bool contended() const { return admission_.contended(desk, std::chrono::steady_clock::now()); }
 
     void configure(Route route, bool withKey = false)
--- a/tests/jy_gateway/ServiceAdmissionTest.cpp
+++ b/tests/jy_gateway/ServiceAdmissionTest.cpp
@@ -45,7 +45,7 @@
 
     void awaitAll() const
     {
-        while (pending_ > 0)
+        while (pending_ > 0 || running > 0)
             EventLoop::sleepFor(milliseconds(5));
     }
 
@@ -95,16 +95,34 @@
             run.send(3);
             run.send(4);
             EXPECT_EQ(run.statuses, (Statuses{{2, 0}, {4, 503}}));
-            ASSERT_FALSE(run.retryAfter.empty());
-            EXPECT_GE(std::stoi(run.retryAfter), ReturnSchedule::shortest.count());
-            EXPECT_LE(std::stoi(run.retryAfter), ReturnSchedule::longest.count());
+            const auto returnAfter = run.retryAfter;
             run.awaitAll();
             EXPECT_EQ(run.statuses, (Statuses{{1, 200}, {2, 0}, {3, 200}, {4, 503}}));
             EXPECT_EQ(run.calls, 2);
+            ASSERT_FALSE(returnAfter.empty());
+            EXPECT_GE(std::stoi(returnAfter), ReturnSchedule::shortest.count());
+            EXPECT_LE(std::stoi(returnAfter), ReturnSchedule::longest.count());
         },
         AdmissionQueue::Limits{.maxWaiting = 1});
 }
 
+// Guards against a process that does not end, or a place that is lost, because a request waits.
+TEST(ServiceAdmissionTest, AWaitEndsWithAnInterruption)
+{
+    withRelay(
+        [](RelayFixture &relay) {
+            AdmissionRun run(relay, 1);
+            relay.limitTo(1);
+            run.send(1);
+            run.send(2);
+            relay.interrupt();
+            run.awaitAll();
+            EXPECT_NE(run.statuses[2], 200);
+            EXPECT_EQ(run.calls, 1);
+        },
+        AdmissionQueue::Limits{});
+}
+
 struct RetryCase
 {
     const char *name;
