Place requests by reported pace and by expected time under contention

Cause: under overload, prompts left the server that had their prefix cached as soon as four requests waited there, whatever these and a prefill elsewhere took, and prefixes were copied that no further request used. Servers can now state their pace in the load header, which was invalid with a fourth value.

Change: ServerReports keeps the last report of each server and estimates the pace of the others from their response times. While the hook of ServerChooser::setContended says so, a prompt goes to the server with the least expected time until the first event below the load bound, and PromptCopyLimit permits copies only of shared prefixes and two at a time from one server. Requests without a prompt are weighted by reported paces. Without the hook and without reported paces, placement is as before.

Conclusion: prompts stay where their prefix is cached while that costs less. The hook is not set by Gateway yet.

--- a/modules/jy_gateway/adapter/CallerProtocol.h
+++ b/modules/jy_gateway/adapter/CallerProtocol.h
@@ -69,6 +69,9 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+
+    /** How long work currently takes, in percent of the usual time; empty if not stated. */
+    std::optional<int> pacePercent;
 };
 
 /** Metadata from the head of a backend server's response. */
--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -120,7 +120,7 @@
     , cold_(self_.id)
     , quarantine_(self_.id)
     , rateLimits_(self_.id)
-    , chooser_(fleet_, loads_, health_, backoff_, stalls_, cold_, rateLimits_)
+    , chooser_(fleet_, loads_, health_, backoff_, stalls_, cold_, rateLimits_, reports_)
     , duties_({.store = store_,
                .storeEra = [this] { return era_.current(); },
                .api = adapter_.openDutyApi(*dutyClient_, settings_.duties.address,
@@ -145,6 +145,7 @@
               .stalls = stalls_,
               .quarantine = quarantine_,
               .rateLimits = rateLimits_,
+              .reports = reports_,
               .rollouts = rolloutTraffic_,
               .protocol = adapter_.protocol,
               .metrics = metrics_,
--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -192,6 +192,7 @@
     ColdAllowance cold_;
     PromptQuarantine quarantine_;
     ServerRateLimits rateLimits_;
+    ServerReports reports_;
     ServerChooser chooser_;
     PromptCacheIndex prompts_;
     DutyRunner duties_;
--- a/modules/jy_gateway/assembly/GatewayFleet.cpp
+++ b/modules/jy_gateway/assembly/GatewayFleet.cpp
@@ -347,12 +347,14 @@
         const auto now = Clock::now();
         for (const auto &server : fleet_.expire(now)) {
             health_.forget(server);
+            reports_.forget(server);
             logEvent(LogLevel::Info, "server-gone",
                      {{"server", server}, {"reason", "entry did not return"}});
         }
         loads_.expire(now);
         health_.expire(now);
         backoff_.expire(now);
+        reports_.expire(now);
         fleetClock_.expire(bootTime());
         std::set<InstanceId> live{self_.id};
         for (const auto &peer : peers_.alive(now))
--- a/modules/jy_gateway/placement/ServerChooser.cpp
+++ b/modules/jy_gateway/placement/ServerChooser.cpp
@@ -3,6 +3,7 @@
 #include "jy_base/hashing/StableHash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -26,9 +27,6 @@
 // Servers whose starts are no further apart than this count as started at the same time.
 constexpr std::chrono::milliseconds sameStartTolerance{1000};
 
-// Requests per slot that a server may queue in addition before it is regarded as full.
-constexpr double maxQueuedPerSlot = 2.0;
-
 // Failure rates are compared with the median: failures that all servers share, such as those of a
 // broken route, raise it too and penalize no server.
 double median(std::vector<double> values)
@@ -45,7 +43,7 @@
 ServerChooser::ServerChooser(const FleetView &fleet, const LoadTable &loads,
                              const ServerHealth &health, const ServerBackoff &backoff,
                              const StallDetector &stalls, ColdAllowance &cold,
-                             ServerRateLimits &rateLimits)
+                             ServerRateLimits &rateLimits, const ServerReports &reports)
     : fleet_(fleet)
     , loads_(loads)
     , health_(health)
@@ -53,6 +51,7 @@
     , stalls_(stalls)
     , cold_(cold)
     , rateLimits_(rateLimits)
+    , reports_(reports)
 { }
 
 Placement ServerChooser::choose(const PlacementQuery &query, double draw, TimePoint now)
@@ -61,11 +60,23 @@
     auto candidates = findCandidates(query, now, result);
     if (candidates.empty())
         return result;
-    auto chosen = query.affinity != 0 ? chooseByPrefix(candidates, query, now)
-                                      : chooseLeastLoaded(candidates, draw);
+    const bool contended = isContended(query, now);
+    auto chosen = query.affinity == 0 ? chooseLeastLoaded(candidates, draw, now)
+        : contended                   ? chooseByExpectedTime(candidates, query, now)
+                                      : chooseByPrefix(candidates, query, now);
     chosen.candidates = candidates.size();
-    if (isCopyFaster(query))
-        findCopySource(candidates, query, now, chosen);
+    if (isCopyFaster(query)) {
+        const bool worthwhile = !contended || isCopyWorthwhile(query, now);
+        const auto permitted = [&](const ServerId &source) {
+            const bool may = worthwhile && (!contended || copies_.mayCopyFrom(source, now));
+            chosen.copyAvoided |= !may;
+            return may;
+        };
+        findCopySource(candidates, query, now, permitted, chosen);
+        chosen.copyAvoided &= chosen.copySource.empty();
+    }
+    if (query.affinity != 0)
+        recordPrompt(query, chosen, now);
     const auto *server = fleet_.findServer(chosen.server);
     if (server && server->coldUntil > now)
         cold_.spend(chosen.server, now);
@@ -224,6 +235,11 @@
                 .reason = first ? PlacementReason::Home : PlacementReason::Spilled,
                 .load = candidate.load};
     }
+    return leastLoaded(candidates);
+}
+
+Placement ServerChooser::leastLoaded(const std::vector<Candidate> &candidates)
+{
     const auto least = std::ranges::min_element(
         candidates, {}, [](const Candidate &c) { return c.load + c.penalty; });
     return {.server = least->server->entry.id,
@@ -245,11 +261,13 @@
 }
 
 const ServerChooser::Candidate *
-ServerChooser::nearestHolder(const std::vector<Candidate> &candidates, const DomainId &domain)
+ServerChooser::nearestHolder(const std::vector<Candidate> &candidates, const DomainId &domain,
+                             const SourceFilter &permitted)
 {
     const Candidate *nearest = nullptr;
     for (const auto &candidate : candidates) {
-        if (!candidate.hasCachedPrefix || candidate.penalty > 0)
+        if (!candidate.hasCachedPrefix || candidate.penalty > 0
+            || !permitted(candidate.server->entry.id))
             continue;
         if (candidate.server->entry.domain == domain)
             return &candidate;
@@ -260,7 +278,8 @@
 }
 
 void ServerChooser::findCopySource(std::vector<Candidate> &candidates, const PlacementQuery &query,
-                                   TimePoint now, Placement &placement) const
+                                   TimePoint now, const SourceFilter &permitted,
+                                   Placement &placement) const
 {
     for (const auto *server : fleet_.leaving(query.service)) {
         if (!query.tried.contains(server->entry.id))
@@ -283,13 +302,10 @@
     const auto *chosen = fleet_.findServer(placement.server);
     if (!chosen || holdsPrefix(*chosen, query))
         return;
-    if (const auto *holder = nearestHolder(candidates, chosen->entry.domain)) {
+    if (const auto *holder = nearestHolder(candidates, chosen->entry.domain, permitted)) {
         placement.copySource = holder->server->entry.id;
         return;
     }
-    const auto isWarmingUp = [&](const ServerState &server) {
-        return now - server.since < cacheWarmUpTime;
-    };
     const auto joinedAfter = [](const ServerState &server, const ServerState &other) {
         return server.entry.startTimeMs > other.entry.startTimeMs + sameStartTolerance.count()
             || server.since > other.since + sameStartTolerance;
@@ -300,14 +316,14 @@
         if (&server == chosen) {
             before = false;
             // A server that has not joined recently has the prefix cached itself.
-            if (!isWarmingUp(server))
+            if (!isWarmingUp(server, now))
                 return;
             continue;
         }
         // A server that has just joined is the new home of prefixes that lower ranks have cached.
-        const bool hasCopy = before ? !isWarmingUp(server) || !joinedAfter(server, *chosen)
+        const bool hasCopy = before ? !isWarmingUp(server, now) || !joinedAfter(server, *chosen)
                                     : joinedAfter(*chosen, server);
-        if (hasCopy && candidate.penalty == 0) {
+        if (hasCopy && candidate.penalty == 0 && permitted(server.entry.id)) {
             placement.copySource = server.entry.id;
             return;
         }
@@ -322,22 +338,51 @@
     return meanLoad * factor + slack;
 }
 
-Placement ServerChooser::chooseLeastLoaded(const std::vector<Candidate> &candidates, double draw)
+Placement ServerChooser::chooseLeastLoaded(std::vector<Candidate> &candidates, double draw,
+                                           TimePoint now) const
 {
-    const auto cost = [](const Candidate &candidate) { return candidate.load + candidate.penalty; };
-    double least = cost(candidates.front());
-    for (const auto &candidate : candidates)
-        least = std::min(least, cost(candidate));
+    if (reports_.anyPaceReported(now)) {
+        const auto reported = [&](const Candidate &candidate) {
+            return reports_.pace(candidate.server->entry.id, now).reported;
+        };
+        if (std::ranges::any_of(candidates, reported)) {
+            for (auto &candidate : candidates)
+                candidate.pace = reports_.pace(candidate.server->entry.id, now).factor;
+        }
+    }
+    const auto load = [](const Candidate &candidate) { return candidate.load + candidate.penalty; };
+    const auto least = std::ranges::min_element(candidates, {}, [&](const Candidate &candidate) {
+        return (load(candidate) + 1) * candidate.pace;
+    });
+    // Equally loaded servers are chosen in proportion to their speed. All instances have the same
+    // reports, so they would all choose the fastest one, however small the difference is.
     std::vector<const Candidate *> equals;
+    double speeds = 0;
     for (const auto &candidate : candidates) {
-        if (cost(candidate) <= least)
+        if (load(candidate) == load(*least)) {
             equals.push_back(&candidate);
+            speeds += 1 / candidate.pace;
+        }
+    }
+    const Candidate *chosen = equals.back();
+    double sum = 0;
+    for (const auto *candidate : equals) {
+        sum += 1 / candidate->pace;
+        if (draw * speeds < sum) {
+            chosen = candidate;
+            break;
+        }
     }
-    const auto index = static_cast<std::size_t>(draw * static_cast<double>(equals.size()));
-    const auto &chosen = *equals[std::min(index, equals.size() - 1)];
-    return {.server = chosen.server->entry.id,
+    return {.server = chosen->server->entry.id,
             .reason = PlacementReason::LeastLoaded,
-            .load = chosen.load};
+            .load = chosen->load,
+            .pacePercent = percentOf(chosen->pace)};
+}
+
+int ServerChooser::percentOf(double pace)
+{
+    constexpr double percent = 100;
+    return static_cast<int>(std::lround(pace * percent));
 }
 
 std::string_view toString(PlacementReason reason)
--- a/modules/jy_gateway/placement/ServerChooser.h
+++ b/modules/jy_gateway/placement/ServerChooser.h
@@ -2,14 +2,20 @@
 
 #include "jy_gateway/limits/ColdAllowance.h"
 #include "jy_gateway/limits/ServerRateLimits.h"
+#include "jy_gateway/placement/FirstEventEstimate.h"
 #include "jy_gateway/placement/LoadTable.h"
+#include "jy_gateway/placement/MovingAverage.h"
 #include "jy_gateway/placement/PromptCacheIndex.h"
+#include "jy_gateway/placement/PromptCopyLimit.h"
 #include "jy_gateway/placement/ServerBackoff.h"
 #include "jy_gateway/placement/ServerHealth.h"
+#include "jy_gateway/placement/ServerReports.h"
 #include "jy_gateway/placement/StallDetector.h"
 #include "jy_gateway/registry/FleetView.h"
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -28,6 +34,9 @@
      */
     std::int64_t sharedTokens = 0;
 
+    /** Length of the rest of the prompt in tokens, which no server has cached. */
+    std::int64_t ownTokens = 0;
+
     /** Servers that are known to have the prefix cached. They are preferred to all others, except
      * that the home by rendezvous hashing comes first if it can copy the prefix. */
     std::vector<PromptCacheLocation> holders;
@@ -77,6 +86,15 @@
 
     /** Number of servers that were eligible. */
     std::size_t candidates = 0;
+
+    /** Expected time until the first event; 0 unless the service is contended. */
+    std::chrono::milliseconds expected{0};
+
+    /** Time that work takes at the chosen server, in percent of the usual time. */
+    int pacePercent = 100;
+
+    /** A copy of the shared prefix was possible but not made because the service is contended. */
+    bool copyAvoided = false;
 };
 
 /**
@@ -89,9 +107,14 @@
  * prefix cached rank before the others; only the home stays first if it can copy the prefix. A
  * chosen server that lacks the prefix copies it from the nearest server that has it.
  *
+ * While a service is contended, a prompt goes to the server below the load bound where its first
+ * event is expected earliest. It leaves its home only if the wait there takes longer than obtaining
+ * the prefix elsewhere, because each prefill elsewhere adds to the work of the service.
+ *
  * Other requests are short. What other instances report about them is out of date when it arrives
  * and would make all instances choose the same server, so these requests go to the server with the
- * fewest requests of this instance in flight; ties are broken at random.
+ * fewest requests of this instance in flight, weighted by the paces that servers report; ties are
+ * broken at random.
  *
  * The rules handle a few very busy prefixes, many instances that share few servers, and servers
  * that fail part of their requests.
@@ -121,12 +144,21 @@
      * start a copy. */
     static constexpr std::int64_t minTokensToCopy = 250;
 
+    /** Requests per slot that a server may queue in addition before it is regarded as full. */
+    static constexpr double maxQueuedPerSlot = 2.0;
+
     /** Speed at which engines process prompts; the configuration does not state it. */
     static constexpr double prefillTokensPerMs = 45;
 
     ServerChooser(const FleetView &fleet, const LoadTable &loads, const ServerHealth &health,
                   const ServerBackoff &backoff, const StallDetector &stalls, ColdAllowance &cold,
-                  ServerRateLimits &rateLimits);
+                  ServerRateLimits &rateLimits, const ServerReports &reports);
+
+    /** Whether the load of a service is close to what its servers can take. */
+    using ContendedHook = std::function<bool(const ServiceId &service, TimePoint now)>;
+
+    /** Sets the hook that is asked once for each prompt; without one no service is contended. */
+    void setContended(ContendedHook contended) { contended_ = std::move(contended); }
 
     /**
      * Sets the age of the reports of other instances. The older they are, the earlier prompts
@@ -149,6 +181,7 @@
         int waiting = 0;
         double penalty = 0;
         std::uint64_t rank = 0;
+        double pace = 1;
         bool cold = false;
 
         /** The server is known to have the shared prefix cached. */
@@ -176,14 +209,47 @@
                                      TimePoint now) const;
     Placement chooseByPrefix(std::vector<Candidate> &candidates, const PlacementQuery &query,
                              TimePoint now) const;
+
+    /** Chooses the server with the least expected time until the first event among those below the
+     * load bound, or the one with the least load if there is none. */
+    Placement chooseByExpectedTime(std::vector<Candidate> &candidates, const PlacementQuery &query,
+                                   TimePoint now) const;
+    static Placement leastLoaded(const std::vector<Candidate> &candidates);
+
+    /** What the estimates of a prompt have in common. @param mayCopy an engine can be copied from
+     */
+    PromptWork promptWork(const PlacementQuery &query, bool mayCopy) const;
+
+    /** Reported requests count only up to the number at which a server is full, so that false ones
+     * have little effect. */
+    ServerWork serverWork(const Candidate &candidate, bool cached, TimePoint now) const;
+
+    static int percentOf(double pace);
+
+    /** Whether a prefix may be copied while its service is contended. */
+    bool isCopyWorthwhile(const PlacementQuery &query, TimePoint now) const;
+    bool isContended(const PlacementQuery &query, TimePoint now) const;
+
+    /** Records the use of the prefix, its copy, and the prefill time of the prompt. */
+    void recordPrompt(const PlacementQuery &query, const Placement &placement, TimePoint now);
+
+    /** Whether the server joined so recently that it may lack prefixes that it is the home of. */
+    static bool isWarmingUp(const ServerState &server, TimePoint now)
+    {
+        return now - server.since < cacheWarmUpTime;
+    }
+
+    /** Whether a server may be copied from; records in the placement if not. */
+    using SourceFilter = std::function<bool(const ServerId &source)>;
+
     /** Sets Placement::copySource; adds the servers that are leaving, and those that have the
      * prefix but may get no request now because of their limit, to @p candidates. */
     void findCopySource(std::vector<Candidate> &candidates, const PlacementQuery &query,
-                        TimePoint now, Placement &placement) const;
+                        TimePoint now, const SourceFilter &permitted, Placement &placement) const;
     /** Finds a server that is known to have the prefix, preferably in the same failure domain
      * because copies between domains take twice the time. Null if there is none. */
     static const Candidate *nearestHolder(const std::vector<Candidate> &candidates,
-                                          const DomainId &domain);
+                                          const DomainId &domain, const SourceFilter &permitted);
     /**
      * Sorts by how likely a server is to have the prefix cached, the most likely first. Servers
      * with a limit come after others that have the prefix, and last if they lack it: what they may
@@ -198,7 +264,8 @@
     bool isCopyFaster(const PlacementQuery &query) const;
     /** @returns the load above which requests spill to the next server in rank */
     double spillBound(double meanLoad) const;
-    static Placement chooseLeastLoaded(const std::vector<Candidate> &candidates, double draw);
+    Placement chooseLeastLoaded(std::vector<Candidate> &candidates, double draw,
+                                TimePoint now) const;
 
     const FleetView &fleet_;
     const LoadTable &loads_;
@@ -207,7 +274,13 @@
     const StallDetector &stalls_;
     ColdAllowance &cold_;
     ServerRateLimits &rateLimits_;
+    const ServerReports &reports_;
     std::chrono::milliseconds reportAge_{0};
+    ContendedHook contended_;
+    PromptCopyLimit copies_;
+
+    /** Mean prefill time of the recent prompts of each service, in milliseconds. */
+    std::map<ServiceId, MovingAverage> meanPrefill_;
 };
 
 std::string_view toString(PlacementReason reason);
--- a/modules/jy_gateway/relay/RelayEvidence.cpp
+++ b/modules/jy_gateway/relay/RelayEvidence.cpp
@@ -1,5 +1,6 @@
 // The part of RelayExchange that records what an attempt shows about its server and its prompt.
 
+#include "jy_gateway/placement/PlacementMetrics.h"
 #include "jy_gateway/relay/RelayExchange.h"
 #include "jy_runtime/logging/Log.h"
 
@@ -45,6 +46,7 @@
     const auto other = dependencies.rollouts.retryGroup(service);
     if (placement.server.empty() && assigned != other)
         placement = choose(other);
+    countPlacement(dependencies.metrics, service, placement);
     return placement;
 }
 
@@ -84,6 +86,8 @@
         return;
     auto &dependencies = relay_.dependencies_;
     const auto now = Clock::now();
+    if (metadata.load)
+        dependencies.reports.observe(server.id, *metadata.load, now);
     if (metadata.coldLeft)
         dependencies.fleet.setServerCold(server.id, *metadata.coldLeft, now);
     if (metadata.leaving && dependencies.fleet.markServerLeaving(server.id, server.startTimeMs))
@@ -120,6 +124,8 @@
         return;
     noteBegan(attempt, received);
     relay_.dependencies_.loads.responseStarted(server);
+    relay_.dependencies_.reports.responseStarted(query_.service, server, received - attempt.start,
+                                                 received);
     if (query_.affinity != 0)
         relay_.dependencies_.prompts.addFromResponse(query_.affinity, query_.sharedTokens, server,
                                                      received);
--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -51,6 +51,7 @@
     if (query_.affinity == 0)
         return;
     query_.holders = relay.dependencies_.prompts.find(query_.affinity, start);
+    query_.ownTokens = metadata.prompt.back().tokens;
     outcome_.prompt = PromptCacheIndex::keyOf(query_.affinity);
     outcome_.holders = query_.holders.size();
     outcome_.sharedTokens = query_.sharedTokens;
@@ -127,6 +128,8 @@
               {"reason", toString(attempt.placement.reason)},
               {"load", attempt.placement.load},
               {"copy_from", attempt.placement.copySource},
+              {"expected_ms", attempt.placement.expected},
+              {"pace", attempt.placement.pacePercent},
               {"candidates", attempt.placement.candidates},
               {"time_left_ms", timeLeft()}});
     watch(attempt);
@@ -167,6 +170,8 @@
 {
     auto &dependencies = relay_.dependencies_;
     dependencies.loads.requestFinished(attempt.placement.server, attempt.responseStarted);
+    if (attempt.responseStarted)
+        dependencies.reports.requestEnded(query_.service, Clock::now() - attempt.start);
     if (attempt.watch != 0)
         dependencies.stalls.requestEnded(attempt.server.id, attempt.watch);
     attempt.opened.reset();
@@ -297,6 +302,9 @@
     // A stream runs from its first token on, everything else once it was sent.
     if (attempt.responseClass != ResponseClass::NotRun && !metadata.eventStream)
         noteBegan(attempt, attempt.sentAt);
+    if (attempt.responseClass == ResponseClass::Deliver && !attempt.eventStream)
+        relay_.dependencies_.reports.responseStarted(query_.service, attempt.server.id,
+                                                     Clock::now() - attempt.start, Clock::now());
     const auto status = "status " + std::to_string(stream.status());
     if (attempt.responseClass == ResponseClass::NotRun) {
         lastError_ = {ErrorKind::NoCapacity, "the backend server refused the request",
--- a/modules/jy_gateway/relay/RequestRelay.h
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -90,6 +90,7 @@
     StallDetector &stalls;
     PromptQuarantine &quarantine;
     ServerRateLimits &rateLimits;
+    ServerReports &reports;
     RolloutTraffic &rollouts;
     const CallerProtocol &protocol;
     Metrics &metrics;
--- a/tests/jy_gateway/InstanceFixture.h
+++ b/tests/jy_gateway/InstanceFixture.h
@@ -17,7 +17,7 @@
     explicit Instance(const std::string &id = "instance")
         : cold(InstanceId(id))
         , rateLimits(InstanceId(id))
-        , chooser(fleet, loads, health, backoff, stalls, cold, rateLimits)
+        , chooser(fleet, loads, health, backoff, stalls, cold, rateLimits, reports)
     {
         fleet.apply(ConfigWritten{twoServices()}, start);
     }
@@ -41,6 +41,7 @@
     StallDetector stalls{[](const ServerId &) { return false; }};
     ColdAllowance cold;
     ServerRateLimits rateLimits;
+    ServerReports reports;
     ServerChooser chooser;
 };
 
--- a/tests/jy_gateway/RelayFixture.h
+++ b/tests/jy_gateway/RelayFixture.h
@@ -64,7 +64,7 @@
         , client_(HttpClient::create(loop, {.connectTimeout = milliseconds(300)}))
         , cold_(InstanceId("self"))
         , rateLimits_(InstanceId("self"))
-        , chooser_(fleet, loads_, health_, backoff_, stalls, cold_, rateLimits_)
+        , chooser_(fleet, loads_, health_, backoff_, stalls, cold_, rateLimits_, reports_)
         , protocol_(testProtocol())
         , relay_({.loop = loop_,
                   .client = *client_,
@@ -77,6 +77,7 @@
                   .stalls = stalls,
                   .quarantine = quarantine_,
                   .rateLimits = rateLimits_,
+                  .reports = reports_,
                   .rollouts = rollouts,
                   .protocol = protocol_,
                   .metrics = metrics_,
@@ -199,6 +200,7 @@
     ServerBackoff backoff_;
     ColdAllowance cold_;
     ServerRateLimits rateLimits_;
+    ServerReports reports_;
     PromptQuarantine quarantine_{InstanceId("self")};
     ServerChooser chooser_;
     PromptCacheIndex prompts_;
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -297,6 +297,41 @@
                     RetryAfterCase{"OfASuccess", 200, "3", std::nullopt}),
     [](const auto &info) { return std::string(info.param.name); });
 
+struct LoadCase
+{
+    const char *name;
+    const char *text;
+    std::optional<int> waiting;
+    std::optional<int> pacePercent;
+};
+
+struct ServerLoadTest : testing::TestWithParam<LoadCase>
+{ };
+
+// A fourth value made the whole header invalid, so that a server that reports its pace had no load.
+TEST_P(ServerLoadTest, InvalidPaceLeavesTheOtherValues)
+{
+    const auto load =
+        createCallerProtocol()
+            .readResponseMetadata(200, {{"Jacinthyoke-Replica-Load", GetParam().text}})
+            .load;
+    ASSERT_EQ(load.has_value(), GetParam().waiting.has_value());
+    if (load) {
+        EXPECT_EQ(load->waiting, GetParam().waiting);
+        EXPECT_EQ(load->pacePercent, GetParam().pacePercent);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Values, ServerLoadTest,
+    testing::Values(LoadCase{"WithoutPace", "3,1,8", 1, {}}, LoadCase{"Pace", "3,1,8,250", 1, 250},
+                    LoadCase{"Spaces", "3, 1, 8, 90", 1, 90}, LoadCase{"Zero", "3,1,8,0", 1, {}},
+                    LoadCase{"Negative", "3,1,8,-5", 1, {}}, LoadCase{"Word", "3,1,8,x", 1, {}},
+                    LoadCase{"Fraction", "3,1,8,1.5", 1, {}}, LoadCase{"NoDigits", "3,1,8,", 1, {}},
+                    LoadCase{"TooLarge", "3,1,8,99999999999", 1, {}},
+                    LoadCase{"FiveValues", "3,1,8,100,1", {}, {}}, LoadCase{"Two", "3,1", {}, {}}),
+    [](const auto &info) { return std::string(info.param.name); });
+
 TEST(CallerCodecTest, LimitIsANumberOfRequests)
 {
     const auto protocol = createCallerProtocol();
