Merge the placement under contention; ask the admission whether a service is contended

A stream that has begun is continued by another server also while requests wait for places: its caller is already being served (found by the review).

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -136,7 +136,7 @@
     , cold_(self_.id)
     , quarantine_(self_.id)
     , rateLimits_(self_.id)
-    , chooser_(fleet_, loads_, health_, backoff_, stalls_, cold_, rateLimits_)
+    , chooser_(fleet_, loads_, health_, backoff_, stalls_, cold_, rateLimits_, reports_)
     , duties_({.store = store_,
                .storeEra = [this] { return era_.current(); },
                .api = adapter_.openDutyApi(*dutyClient_, settings_.duties.address,
@@ -161,6 +161,7 @@
               .stalls = stalls_,
               .quarantine = quarantine_,
               .rateLimits = rateLimits_,
+              .reports = reports_,
               .rollouts = rolloutTraffic_,
               .protocol = adapter_.protocol,
               .metrics = metrics_,
@@ -176,9 +177,13 @@
                                      TimePoint began) { duties_.attemptBegan(workspace, began); }},
              {}, randomSeed())
 {
-    if (serviceAdmission_)
-        serverClient_->setIdleLimit(
-            [this](const Endpoint &server) { return idleConnectionLimit(server); });
+    if (!serviceAdmission_)
+        return;
+    serverClient_->setIdleLimit(
+        [this](const Endpoint &server) { return idleConnectionLimit(server); });
+    chooser_.setContended([this](const ServiceId &service, TimePoint now) {
+        return serviceAdmission_->contended(service, now);
+    });
 }
 
 Gateway::~Gateway() = default;
--- a/modules/jy_gateway/relay/RelayEnding.cpp
+++ b/modules/jy_gateway/relay/RelayEnding.cpp
@@ -59,7 +59,8 @@
     constexpr int maxFullServers = 2;
     const auto *admission = relay_.dependencies_.admission;
     const auto now = Clock::now();
-    if (!admission || !admission->contended(query_.service, now))
+    // A stream that has begun is continued: its caller is already being served.
+    if (!admission || responder_.started() || !admission->contended(query_.service, now))
         return true;
     return fullServers_ < maxFullServers && admission->mayRetry(query_.service, priority_, now);
 }
--- a/tests/jy_gateway/RelayFixture.h
+++ b/tests/jy_gateway/RelayFixture.h
@@ -66,7 +66,7 @@
         , client_(HttpClient::create(loop, {.connectTimeout = milliseconds(300)}))
         , cold_(InstanceId("self"))
         , rateLimits_(InstanceId("self"))
-        , chooser_(fleet, loads_, health_, backoff_, stalls, cold_, rateLimits_)
+        , chooser_(fleet, loads_, health_, backoff_, stalls, cold_, rateLimits_, reports_)
         , protocol_(testProtocol())
         , admission_(loop, metrics_, admission.value_or(AdmissionQueue::Limits{}), 1)
         , relay_({.loop = loop_,
@@ -80,6 +80,7 @@
                   .stalls = stalls,
                   .quarantine = quarantine_,
                   .rateLimits = rateLimits_,
+                  .reports = reports_,
                   .rollouts = rollouts,
                   .protocol = protocol_,
                   .metrics = metrics_,
@@ -222,6 +223,7 @@
     ServerBackoff backoff_;
     ColdAllowance cold_;
     ServerRateLimits rateLimits_;
+    ServerReports reports_;
     PromptQuarantine quarantine_{InstanceId("self")};
     ServerChooser chooser_;
     PromptCacheIndex prompts_;
