Bound the memory that callers make an instance hold

Change: CallerMemory is one account over all servers of a gateway, half of limits.memoryMb; bodies are a quarter as before and a part of it. It counts connections, buffers by capacity, fields, bodies and unread response bytes. Heads are buffered unparsed (HeadScanner) and refused at the field above maxHeaderCount; trailers count as fields. Reads take at most 2 KB of a head, 4 KB of a chunked and 16 KB of another body; buffers are released after each request. The check for a disconnect beside pipelined requests is a timer instead of a fiber. Servers other than the callers' get heads of 8 KB and bodies of 64 KB.

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -52,13 +52,37 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
 }
 
-// A forwarded body is in memory twice, so a quarter of the memory for bodies uses half of it; the
-// rest is left to the process itself.
-std::size_t bodyBudgetBytes(const GatewayLimitSettings &limits)
+// Limits of the servers whose requests have no bodies and few fields: all but that of callers.
+constexpr std::size_t operatorHeadBytes = 8 * 1024;
+constexpr std::size_t operatorBodyBytes = 64 * 1024;
+
+std::size_t partOfMemory(const GatewayLimitSettings &limits, double share)
 {
     constexpr double bytesPerMb = 1024 * 1024;
-    constexpr double shareOfMemory = 0.25;
-    return static_cast<std::size_t>(limits.memoryMb * bytesPerMb * shareOfMemory);
+    return static_cast<std::size_t>(limits.memoryMb * bytesPerMb * share);
+}
+
+// The other half is left to the process itself.
+constexpr double callerMemoryShare = 0.5;
+
+// Part of the memory for callers. A forwarded body is in memory twice, so a quarter uses half.
+constexpr double bodyMemoryShare = 0.25;
+
+std::shared_ptr<CallerMemory> makeCallerMemory(const GatewayLimitSettings &limits, Metrics &metrics)
+{
+    auto memory = CallerMemory::create(
+        partOfMemory(limits, callerMemoryShare), [&metrics](MemoryClosure reason) {
+            metrics
+                .counter("jy_caller_connections_closed_total",
+                         "Connections closed for lack of memory for callers.",
+                         {{"reason", std::string(toString(reason))}})
+                .add();
+        });
+    auto &held =
+        metrics.gauge("jy_caller_memory_bytes", "Memory that callers make this instance hold.");
+    metrics.addCollector(
+        [memory, &held] { held.set(static_cast<double>(memory->budget()->used())); });
+    return memory;
 }
 
 RegisteredInstance describeSelf(const GatewaySettings &settings)
@@ -89,7 +113,9 @@
     , settingsFile_(std::move(settingsFile))
     , adapter_(std::move(adapter))
     , self_(describeSelf(settings_))
-    , bodyBudget_(std::make_shared<ByteBudget>(bodyBudgetBytes(settings_.limits)))
+    , callerMemory_(makeCallerMemory(settings_.limits, metrics_))
+    , bodyBudget_(std::make_shared<ByteBudget>(partOfMemory(settings_.limits, bodyMemoryShare),
+                                               callerMemory_->budget()))
     , storeClient_(HttpClient::create(loop, {.connectTimeout = milliseconds(400)}))
     , dutyClient_(HttpClient::create(loop, {.connectTimeout = milliseconds(400)}))
     , serverClient_(HttpClient::create(
@@ -202,11 +228,18 @@
 
 Result<std::unique_ptr<HttpServer>> Gateway::serve(const Endpoint &address, HttpHandler handler)
 {
+    const CallerLimits callerLimits;
+    const bool forCallers = address == settings_.listen.caller;
+    const auto maxHeadBytes = forCallers ? callerLimits.maxHeadBytes : operatorHeadBytes;
+    const auto maxBodyBytes = forCallers ? callerLimits.maxBodyBytes : operatorBodyBytes;
     return HttpServer::create(loop_,
                               {.listen = address,
+                               .maxHeadBytes = maxHeadBytes,
+                               .maxBodyBytes = maxBodyBytes,
                                .maxConnections = maxConnections,
                                .maxConnectionsPerSource = maxConnections,
-                               .bodyBudget = bodyBudget_},
+                               .bodyBudget = bodyBudget_,
+                               .memory = callerMemory_},
                               std::move(handler));
 }
 
--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -153,6 +153,7 @@
     PlatformAdapter adapter_;
     RegisteredInstance self_;
     Metrics metrics_;
+    std::shared_ptr<CallerMemory> callerMemory_;
     std::shared_ptr<ByteBudget> bodyBudget_;
 
     std::unique_ptr<HttpClient> storeClient_;
--- a/modules/jy_http/messages/ByteBudget.h
+++ b/modules/jy_http/messages/ByteBudget.h
@@ -1,21 +1,24 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 
 namespace jy {
 
 /**
- * Bytes that a process may hold in bodies at once.
+ * Bytes that a process may hold for one purpose at once, such as bodies.
  *
  * Shared by all connections, so that many bodies of a permitted size cannot use up the memory of a
- * small machine together.
+ * small machine together. A budget can be a part of another one.
  */
 class ByteBudget
 {
 public:
-    explicit ByteBudget(std::size_t limit)
+    /** @param whole also bounds and counts the bytes of this budget; null: none */
+    explicit ByteBudget(std::size_t limit, std::shared_ptr<ByteBudget> whole = nullptr)
         : limit_(limit)
+        , whole_(std::move(whole))
     { }
 
     std::size_t limit() const { return limit_; }
@@ -24,10 +27,25 @@
     /** Largest use so far. */
     std::size_t peak() const { return peak_; }
 
+    /** Called before a lease grows by this number of bytes; it must not resize leases. */
+    void setBeforeGrowth(std::function<void(std::size_t)> beforeGrowth)
+    {
+        beforeGrowth_ = std::move(beforeGrowth);
+    }
+
 private:
     friend class ByteLease;
 
+    enum class Excess {
+        Refuse,
+        Count, /**< the bytes are held already and are counted even above the limit */
+    };
+
+    bool change(std::size_t from, std::size_t to, Excess excess);
+
     std::size_t limit_;
+    std::shared_ptr<ByteBudget> whole_;
+    std::function<void(std::size_t)> beforeGrowth_;
     std::size_t used_ = 0;
     std::size_t peak_ = 0;
 };
@@ -48,6 +66,9 @@
     /** Changes the size. @returns false, and keeps the size, when the budget has no room for it. */
     bool resize(std::size_t bytes);
 
+    /** Changes the size, also above the limit; for bytes that cannot be refused any more. */
+    void count(std::size_t bytes);
+
     void release() { resize(0); }
     std::size_t size() const { return size_; }
 
--- a/modules/jy_http/server/HttpConnection.cpp
+++ b/modules/jy_http/server/HttpConnection.cpp
@@ -1,15 +1,17 @@
 #include "jy_http/server/HttpConnection.h"
 
+#include "jy_http/wire/HeadScanner.h"
 #include "jy_http/wire/HeadWriter.h"
 #include "jy_http/wire/SocketDeadline.h"
 #include "jy_runtime/fibers/FiberToken.h"
 #include "jy_runtime/logging/Log.h"
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/buffers_to_string.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <charconv>
@@ -29,8 +31,24 @@
 constexpr std::size_t maxLingerBytes = 1024 * 1024;
 constexpr std::chrono::milliseconds maxLingerTime{500};
 
-// Requests usually release the memory of their bodies within about this time.
-constexpr std::chrono::milliseconds bodyRetryAfter{1000};
+// Requests usually release their memory within about this time.
+constexpr std::chrono::milliseconds memoryRetryAfter{1000};
+
+// Memory of a connection without a request: the used part of its fiber's stack, its objects and
+// those of Asio. MEASURED
+constexpr std::size_t connectionBytes = 24 * 1024;
+
+// Further memory of a running handler, mostly stack.
+constexpr std::size_t exchangeBytes = 16 * 1024;
+
+// A parsed header field costs about this much beside its text, in the parser and in the copy.
+constexpr std::size_t fieldBytes = 100;
+
+// Longest reads. Bytes beyond the current request stay in the socket, except for one read. A body
+// of known length is read in large parts, as none of them goes beyond its end.
+constexpr std::size_t headReadBytes = 2 * 1024;
+constexpr std::size_t chunkReadBytes = 4 * 1024;
+constexpr std::size_t bodyReadBytes = 16 * 1024;
 
 // Retry-After of requests that were not complete when the process had to end.
 constexpr std::chrono::milliseconds stoppingRetryAfter{1000};
@@ -51,9 +69,32 @@
     return request;
 }
 
+std::size_t heldBytes(const HttpRequest &request)
+{
+    std::size_t bytes = exchangeBytes + request.target.size();
+    for (const auto &[name, value] : request.headers)
+        bytes += fieldBytes + name.size() + value.size();
+    return bytes;
+}
+
+Error noMemory()
+{
+    return {ErrorKind::Overloaded, "no memory for the request", memoryRetryAfter};
+}
+
+std::string closingResponse(const Error &error)
+{
+    const auto response = errorResponse(error);
+    return responseHead(response.status, response.headers, BodyFraming::Length,
+                        response.body.size(), false)
+        + response.body;
+}
+
 // Whether the input violates the protocol or a limit, as opposed to a connection that ended.
 bool isMalformed(error_code error)
 {
+    if (error == asio::error::message_size)
+        return true;
     return error.category() == http::make_error_code(http::error::body_limit).category()
         && error != http::error::end_of_stream && error != http::error::partial_message;
 }
@@ -63,6 +104,9 @@
     if (error == http::error::body_limit)
         return {ErrorKind::PayloadTooLarge,
                 "the body exceeds " + std::to_string(settings.maxBodyBytes) + " bytes"};
+    if (error == asio::error::message_size)
+        return {ErrorKind::PayloadTooLarge,
+                "more than " + std::to_string(settings.maxHeaderCount) + " header fields"};
     if (error == http::error::header_limit || error == http::error::buffer_overflow)
         return {ErrorKind::PayloadTooLarge,
                 "the request head exceeds " + std::to_string(settings.maxHeadBytes) + " bytes"};
@@ -153,7 +197,18 @@
                                       Clock::now() + connection_.settings_.writeTimeout,
                                       SocketDeadline::Effect::Close);
         error_code error;
-        asio::async_write(connection_.socket_, buffers, FiberToken{error});
+        boost::beast::buffers_suffix<Buffers> rest(buffers);
+        const auto held = connection_.member_.lease().size();
+        connection_.responding_ = true;
+        for (auto left = asio::buffer_size(rest); left > 0 && !error;
+             left = asio::buffer_size(rest)) {
+            connection_.member_.progress();
+            connection_.member_.lease().count(held + left);
+            rest.consume(connection_.socket_.async_write_some(rest, FiberToken{error}));
+        }
+        connection_.responding_ = false;
+        connection_.member_.protect();
+        connection_.member_.lease().count(held);
         broken_ = error.failed();
         if (broken_)
             cancellation_->cancel();
@@ -174,6 +229,8 @@
     : socket_(std::move(socket))
     , settings_(settings)
     , handler_(handler)
+    , checkTimer_(socket_.get_executor())
+    , member_(settings.memory, [this] { return closeForMemory(); })
     , bodyRoom_(settings.bodyBudget)
 {
     error_code ignored;
@@ -190,6 +247,8 @@
             break;
         handle(*request);
         bodyRoom_.release();
+        member_.progress();
+        hold(buffer_.capacity());
         if (closing_)
             break;
     }
@@ -243,44 +302,58 @@
                                   SocketDeadline::Effect::EndReads);
     Parser parser;
     auto error = readHead(parser);
-    if (!error) {
-        const auto &head = parser.get();
-        const auto fields = static_cast<std::size_t>(std::distance(head.begin(), head.end()));
-        if (fields > settings_.maxHeaderCount) {
-            reject({ErrorKind::PayloadTooLarge,
-                    "more than " + std::to_string(settings_.maxHeaderCount) + " header fields"});
-            return std::nullopt;
-        }
+    if (!error)
         error = readBody(parser);
+    if (error || interrupted_ || deadline.expired()) {
+        rejectUnread(error, deadline.expired());
+        return std::nullopt;
     }
+    keepAlive_ = parser.get().keep_alive();
+    return toRequest(parser.release(), source_);
+}
+
+void HttpConnection::rejectUnread(error_code error, bool late)
+{
     if (interrupted_) {
         if (error != http::error::end_of_stream)
             reject({ErrorKind::ShuttingDown, "the instance is shutting down", stoppingRetryAfter});
-        return std::nullopt;
-    }
-    if (deadline.expired()) {
+    } else if (late) {
         reject({ErrorKind::RequestTimeout, "the request was not complete in time"});
-        return std::nullopt;
-    }
-    if (error == asio::error::no_buffer_space) {
-        reject({ErrorKind::Overloaded, "no memory for the body", bodyRetryAfter});
-        return std::nullopt;
-    }
-    if (error) {
-        if (isMalformed(error))
-            reject(readError(error, settings_));
-        return std::nullopt;
+    } else if (error == asio::error::no_buffer_space) {
+        if (member_.memory())
+            member_.memory()->closed(MemoryClosure::NoRoom);
+        reject(noMemory());
+    } else if (isMalformed(error)) {
+        reject(readError(error, settings_));
     }
-    keepAlive_ = parser.get().keep_alive();
-    return toRequest(parser.release(), source_);
 }
 
 error_code HttpConnection::readHead(Parser &parser)
 {
+    using State = HeadScanner::State;
     parser.header_limit(static_cast<std::uint32_t>(settings_.maxHeadBytes));
     parser.body_limit(settings_.maxBodyBytes);
+    HeadScanner scanner(settings_.maxHeadBytes, settings_.maxHeaderCount);
+    const auto scan = [&] {
+        const auto received = buffer_.cdata();
+        return scanner.scan({static_cast<const char *>(received.data()), received.size()});
+    };
     error_code error;
-    http::async_read_header(socket_, buffer_, parser, FiberToken{error});
+    auto state = scan();
+    while (!error && state == State::Incomplete) {
+        const bool empty = buffer_.size() == 0;
+        error = receive(headReadBytes);
+        if (error == asio::error::eof)
+            return empty ? http::error::end_of_stream : http::error::partial_message;
+        state = scan();
+    }
+    if (error)
+        return error;
+    if (state == State::TooManyFields)
+        return asio::error::message_size;
+    if (state != State::Complete)
+        return state == State::TooLong ? http::error::header_limit : http::error::bad_line_ending;
+    buffer_.consume(parser.put(asio::buffer(buffer_.cdata(), scanner.headBytes()), error));
     return error;
 }
 
@@ -290,18 +363,93 @@
     if (parser.get()[http::field::expect] == "100-continue" && !parser.is_done())
         asio::async_write(socket_, asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25),
                           FiberToken{error});
+    parser.eager(true);
     while (!error && !parser.is_done()) {
-        http::async_read_some(socket_, buffer_, parser, FiberToken{error});
+        const auto parsed = buffer_.size() > 0 ? parser.put(buffer_.cdata(), error) : 0;
+        buffer_.consume(parsed);
+        if (error == http::error::need_more)
+            error = {};
         // Counts received bytes, not Content-Length, by which a caller could reserve memory for
         // free.
         if (!bodyRoom_.resize(parser.get().body().size()))
             return asio::error::no_buffer_space;
+        if (error || parser.is_done() || (parsed > 0 && buffer_.size() > 0))
+            continue;
+        const auto left = parser.content_length_remaining();
+        error =
+            receive(left ? static_cast<std::size_t>(std::min<std::uint64_t>(*left, bodyReadBytes))
+                         : chunkReadBytes);
+        if (error == asio::error::eof)
+            return http::error::partial_message;
     }
+    // Trailers count as fields.
+    const auto &fields = parser.get();
+    if (static_cast<std::size_t>(std::distance(fields.begin(), fields.end()))
+        > settings_.maxHeaderCount)
+        return asio::error::message_size;
+    return error;
+}
+
+error_code HttpConnection::receive(std::size_t most)
+{
+    const auto size = buffer_.size();
+    if (size >= settings_.maxHeadBytes)
+        return http::error::buffer_overflow;
+    most = std::min(most, settings_.maxHeadBytes - size);
+    // A flat_buffer grows at least to twice its content.
+    const auto grown =
+        size + most <= buffer_.capacity() ? buffer_.capacity() : std::max(2 * size, size + most);
+    if (!hold(grown))
+        return asio::error::no_buffer_space;
+    error_code error;
+    buffer_.commit(socket_.async_read_some(buffer_.prepare(most), FiberToken{error}));
     return error;
 }
 
+bool HttpConnection::hold(std::size_t bytes)
+{
+    return member_.lease().resize(connectionBytes + bytes);
+}
+
+bool HttpConnection::reserve()
+{
+    member_.progress();
+    if (hold(0))
+        return true;
+    closeForMemory();
+    member_.memory()->closed(MemoryClosure::NoRoom);
+    return false;
+}
+
+void HttpConnection::trimBuffer()
+{
+    if (buffer_.capacity() > buffer_.size())
+        buffer_.shrink_to_fit();
+}
+
+CallerMemory::Closed HttpConnection::closeForMemory()
+{
+    auto reason = MemoryClosure::UnreadResponse;
+    error_code ignored;
+    if (!responding_) {
+        const bool idle = idle_ && socket_.available(ignored) == 0;
+        reason = idle ? MemoryClosure::Idle : MemoryClosure::IncompleteRequest;
+        const auto text = idle ? std::string() : closingResponse(noMemory());
+        ::send(socket_.native_handle(), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
+    close();
+    return {reason, member_.lease().size() + bodyRoom_.size()};
+}
+
 void HttpConnection::handle(const HttpRequest &request)
 {
+    trimBuffer();
+    member_.protect();
+    if (!hold(buffer_.capacity() + heldBytes(request))) {
+        rejectUnread(asio::error::no_buffer_space, false);
+        closing_ = true;
+        return;
+    }
     Responder responder(*this, request.method == "HEAD");
     handling_ = true;
     exchange_ = responder.cancellation();
@@ -318,6 +466,7 @@
     }
     handling_ = false;
     exchange_.reset();
+    checkTimer_.cancel();
     error_code ignored;
     socket_.cancel(ignored);
     if (interrupted_ && !responder.wrote()) {
@@ -340,23 +489,28 @@
             const auto current = weak.lock();
             if (!current || !self->handling_)
                 return;
-            if (error || self->callerClosed()) {
+            if (error || self->callerClosed())
                 current->cancel();
-                return;
-            }
-            EventLoop::spawn([self, weak] {
-                while (true) {
-                    EventLoop::sleepFor(pipelinedCheckInterval);
-                    const auto watched = weak.lock();
-                    if (!watched || !self->handling_)
-                        return;
-                    if (self->callerClosed())
-                        return watched->cancel();
-                }
-            });
+            else
+                self->checkCallerLater(weak);
         });
 }
 
+void HttpConnection::checkCallerLater(const std::weak_ptr<Cancellation> &cancellation)
+{
+    // A timer and no fiber: with many pipelined requests, the stacks took hundreds of megabytes.
+    checkTimer_.expires_after(pipelinedCheckInterval);
+    checkTimer_.async_wait([self = shared_from_this(), cancellation](error_code error) {
+        const auto current = cancellation.lock();
+        if (error || !current || !self->handling_)
+            return;
+        if (self->callerClosed())
+            current->cancel();
+        else
+            self->checkCallerLater(cancellation);
+    });
+}
+
 bool HttpConnection::callerClosed()
 {
     if (!socket_.is_open())
@@ -369,16 +523,16 @@
 {
     const SocketDeadline deadline(socket_, Clock::now() + settings_.writeTimeout,
                                   SocketDeadline::Effect::Close);
-    const auto response = errorResponse(error);
-    const auto text = responseHead(response.status, response.headers, BodyFraming::Length,
-                                   response.body.size(), false)
-        + response.body;
+    const auto text = closingResponse(error);
+    responding_ = true;
     error_code ignored;
     asio::async_write(socket_, asio::buffer(text), FiberToken{ignored});
 }
 
 void HttpConnection::closeGently()
 {
+    responding_ = true;
+    member_.progress();
     error_code error;
     socket_.shutdown(tcp::socket::shutdown_send, error);
     const SocketDeadline deadline(socket_, Clock::now() + maxLingerTime,
--- a/modules/jy_http/server/HttpServer.cpp
+++ b/modules/jy_http/server/HttpServer.cpp
@@ -122,8 +122,13 @@
             perSource_.erase(source);
         return refuse(std::move(socket));
     }
-    ++count;
     auto connection = std::make_shared<HttpConnection>(std::move(socket), settings_, handler_);
+    if (!connection->reserve()) {
+        if (count == 0)
+            perSource_.erase(source);
+        return;
+    }
+    ++count;
     if (closing_)
         connection->announceClose();
     connections_.insert(connection);
@@ -171,9 +176,11 @@
 {
     const auto listen = settings_.listen;
     const auto budget = settings_.bodyBudget;
+    const auto memory = settings_.memory;
     settings_ = settings;
     settings_.listen = listen;
     settings_.bodyBudget = budget;
+    settings_.memory = memory;
 }
 
 void HttpServer::Impl::announceClose()
--- a/modules/jy_http/server/HttpServer.h
+++ b/modules/jy_http/server/HttpServer.h
@@ -3,6 +3,7 @@
 #include "jy_base/net/Endpoint.h"
 #include "jy_http/messages/ByteBudget.h"
 #include "jy_http/messages/HttpMessage.h"
+#include "jy_http/server/CallerMemory.h"
 #include "jy_http/server/HttpResponder.h"
 #include "jy_runtime/fibers/EventLoop.h"
 
@@ -35,6 +36,12 @@
 
     /** Memory for the bodies of requests; null: each body has its own limit only. */
     std::shared_ptr<ByteBudget> bodyBudget;
+
+    /**
+     * Memory for all that callers make the process hold, shared by its servers; bodyBudget should
+     * be a part of it. Null: each connection has its own limits only.
+     */
+    std::shared_ptr<CallerMemory> memory;
 };
 
 /**
