--- a/modules/jy_http/server/HttpConnection.h
+++ b/modules/jy_http/server/HttpConnection.h
@@ -91,6 +91,9 @@
     void checkCallerLater(const std::weak_ptr<Cancellation> &cancellation);
     bool callerClosed();
     void reject(const Error &error);
+
+    /** The bytes of a response that announces the end of the connection. */
+    static std::string closingResponse(const Error &error);
     void closeGently();
 
     boost::asio::ip::tcp::socket socket_;
