--- a/modules/jy_http/server/HttpConnection.cpp
+++ b/modules/jy_http/server/HttpConnection.cpp
@@ -6,8 +6,7 @@
 #include "jy_runtime/logging/Log.h"
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/buffers_to_string.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 
 #include <poll.h>
 
@@ -16,7 +15,6 @@
 
 namespace jy {
 
-namespace http = boost::beast::http;
 namespace asio = boost::asio;
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
@@ -29,44 +27,22 @@
 constexpr std::size_t maxLingerBytes = 1024 * 1024;
 constexpr std::chrono::milliseconds maxLingerTime{500};
 
-// Requests usually release the memory of their bodies within about this time.
-constexpr std::chrono::milliseconds bodyRetryAfter{1000};
-
-// Retry-After of requests that were not complete when the process had to end.
-constexpr std::chrono::milliseconds stoppingRetryAfter{1000};
-
 // Unread bytes of a pipelined request keep the socket readable, so a wait for readability cannot
 // detect a disconnect; it is then polled for at this interval.
 constexpr std::chrono::milliseconds pipelinedCheckInterval{100};
 
-HttpRequest toRequest(http::request<http::string_body> &&message, const Endpoint &source)
-{
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto &field : message)
-        request.headers.add(field.name_string(), field.value());
-    request.body = std::move(message.body());
-    request.source = source;
-    return request;
-}
+// Further memory of a running handler, mostly stack; an estimate on the safe side.
+constexpr std::size_t exchangeBytes = 16 * 1024;
 
-// Whether the input violates the protocol or a limit, as opposed to a connection that ended.
-bool isMalformed(error_code error)
-{
-    return error.category() == http::make_error_code(http::error::body_limit).category()
-        && error != http::error::end_of_stream && error != http::error::partial_message;
-}
+// A parsed header field costs about this much beside its text.
+constexpr std::size_t fieldBytes = 100;
 
-Error readError(error_code error, const HttpServerSettings &settings)
+std::size_t heldBytes(const HttpRequest &request)
 {
-    if (error == http::error::body_limit)
-        return {ErrorKind::PayloadTooLarge,
-                "the body exceeds " + std::to_string(settings.maxBodyBytes) + " bytes"};
-    if (error == http::error::header_limit || error == http::error::buffer_overflow)
-        return {ErrorKind::PayloadTooLarge,
-                "the request head exceeds " + std::to_string(settings.maxHeadBytes) + " bytes"};
-    return {ErrorKind::BadRequest, "malformed request: " + error.message()};
+    std::size_t bytes = exchangeBytes + request.target.size();
+    for (const auto &[name, value] : request.headers)
+        bytes += fieldBytes + name.size() + value.size();
+    return bytes;
 }
 
 } // namespace
@@ -153,7 +129,18 @@
                                       Clock::now() + connection_.settings_.writeTimeout,
                                       SocketDeadline::Effect::Close);
         error_code error;
-        asio::async_write(connection_.socket_, buffers, FiberToken{error});
+        boost::beast::buffers_suffix<Buffers> rest(buffers);
+        const auto held = connection_.member_.lease().size();
+        connection_.responding_ = true;
+        for (auto left = asio::buffer_size(rest); left > 0 && !error;
+             left = asio::buffer_size(rest)) {
+            connection_.member_.progress();
+            connection_.member_.lease().count(held + left);
+            rest.consume(connection_.socket_.async_write_some(rest, FiberToken{error}));
+        }
+        connection_.responding_ = false;
+        connection_.member_.protect();
+        connection_.member_.lease().count(held);
         broken_ = error.failed();
         if (broken_)
             cancellation_->cancel();
@@ -174,6 +161,8 @@
     : socket_(std::move(socket))
     , settings_(settings)
     , handler_(handler)
+    , checkTimer_(socket_.get_executor())
+    , member_(settings.memory, [this] { return closeForMemory(); })
     , bodyRoom_(settings.bodyBudget)
 {
     error_code ignored;
@@ -190,6 +179,8 @@
             break;
         handle(*request);
         bodyRoom_.release();
+        member_.progress();
+        hold(buffer_.capacity());
         if (closing_)
             break;
     }
@@ -237,71 +228,15 @@
     return !error && socket_.is_open();
 }
 
-std::optional<HttpRequest> HttpConnection::readRequest()
-{
-    const SocketDeadline deadline(socket_, Clock::now() + settings_.requestTimeout,
-                                  SocketDeadline::Effect::EndReads);
-    Parser parser;
-    auto error = readHead(parser);
-    if (!error) {
-        const auto &head = parser.get();
-        const auto fields = static_cast<std::size_t>(std::distance(head.begin(), head.end()));
-        if (fields > settings_.maxHeaderCount) {
-            reject({ErrorKind::PayloadTooLarge,
-                    "more than " + std::to_string(settings_.maxHeaderCount) + " header fields"});
-            return std::nullopt;
-        }
-        error = readBody(parser);
-    }
-    if (interrupted_) {
-        if (error != http::error::end_of_stream)
-            reject({ErrorKind::ShuttingDown, "the instance is shutting down", stoppingRetryAfter});
-        return std::nullopt;
-    }
-    if (deadline.expired()) {
-        reject({ErrorKind::RequestTimeout, "the request was not complete in time"});
-        return std::nullopt;
-    }
-    if (error == asio::error::no_buffer_space) {
-        reject({ErrorKind::Overloaded, "no memory for the body", bodyRetryAfter});
-        return std::nullopt;
-    }
-    if (error) {
-        if (isMalformed(error))
-            reject(readError(error, settings_));
-        return std::nullopt;
-    }
-    keepAlive_ = parser.get().keep_alive();
-    return toRequest(parser.release(), source_);
-}
-
-error_code HttpConnection::readHead(Parser &parser)
-{
-    parser.header_limit(static_cast<std::uint32_t>(settings_.maxHeadBytes));
-    parser.body_limit(settings_.maxBodyBytes);
-    error_code error;
-    http::async_read_header(socket_, buffer_, parser, FiberToken{error});
-    return error;
-}
-
-error_code HttpConnection::readBody(Parser &parser)
-{
-    error_code error;
-    if (parser.get()[http::field::expect] == "100-continue" && !parser.is_done())
-        asio::async_write(socket_, asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25),
-                          FiberToken{error});
-    while (!error && !parser.is_done()) {
-        http::async_read_some(socket_, buffer_, parser, FiberToken{error});
-        // Counts received bytes, not Content-Length, by which a caller could reserve memory for
-        // free.
-        if (!bodyRoom_.resize(parser.get().body().size()))
-            return asio::error::no_buffer_space;
-    }
-    return error;
-}
-
 void HttpConnection::handle(const HttpRequest &request)
 {
+    trimBuffer();
+    member_.protect();
+    if (!hold(buffer_.capacity() + heldBytes(request))) {
+        rejectUnread(asio::error::no_buffer_space, false);
+        closing_ = true;
+        return;
+    }
     Responder responder(*this, request.method == "HEAD");
     handling_ = true;
     exchange_ = responder.cancellation();
@@ -318,6 +253,7 @@
     }
     handling_ = false;
     exchange_.reset();
+    checkTimer_.cancel();
     error_code ignored;
     socket_.cancel(ignored);
     if (interrupted_ && !responder.wrote()) {
@@ -340,23 +276,28 @@
             const auto current = weak.lock();
             if (!current || !self->handling_)
                 return;
-            if (error || self->callerClosed()) {
+            if (error || self->callerClosed())
                 current->cancel();
-                return;
-            }
-            EventLoop::spawn([self, weak] {
-                while (true) {
-                    EventLoop::sleepFor(pipelinedCheckInterval);
-                    const auto watched = weak.lock();
-                    if (!watched || !self->handling_)
-                        return;
-                    if (self->callerClosed())
-                        return watched->cancel();
-                }
-            });
+            else
+                self->checkCallerLater(weak);
         });
 }
 
+void HttpConnection::checkCallerLater(const std::weak_ptr<Cancellation> &cancellation)
+{
+    // A timer and no fiber: with many pipelined requests, the stacks took hundreds of megabytes.
+    checkTimer_.expires_after(pipelinedCheckInterval);
+    checkTimer_.async_wait([self = shared_from_this(), cancellation](error_code error) {
+        const auto current = cancellation.lock();
+        if (error || !current || !self->handling_)
+            return;
+        if (self->callerClosed())
+            current->cancel();
+        else
+            self->checkCallerLater(cancellation);
+    });
+}
+
 bool HttpConnection::callerClosed()
 {
     if (!socket_.is_open())
@@ -365,20 +306,28 @@
     return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+std::string HttpConnection::closingResponse(const Error &error)
+{
+    const auto response = errorResponse(error);
+    return responseHead(response.status, response.headers, BodyFraming::Length,
+                        response.body.size(), false)
+        + response.body;
+}
+
 void HttpConnection::reject(const Error &error)
 {
     const SocketDeadline deadline(socket_, Clock::now() + settings_.writeTimeout,
                                   SocketDeadline::Effect::Close);
-    const auto response = errorResponse(error);
-    const auto text = responseHead(response.status, response.headers, BodyFraming::Length,
-                                   response.body.size(), false)
-        + response.body;
+    const auto text = closingResponse(error);
+    responding_ = true;
     error_code ignored;
     asio::async_write(socket_, asio::buffer(text), FiberToken{ignored});
 }
 
 void HttpConnection::closeGently()
 {
+    responding_ = true;
+    member_.progress();
     error_code error;
     socket_.shutdown(tcp::socket::shutdown_send, error);
     const SocketDeadline deadline(socket_, Clock::now() + maxLingerTime,
