--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -107,9 +107,10 @@
         return nullptr;
     return std::make_unique<ServiceAdmission>(
         loop, metrics,
-        AdmissionQueue::Limits{
-            .maxWaiting = static_cast<std::size_t>(settings.admission.maxWaiting),
-            .maxWaitingBytes = bodyBudgetBytes(settings.limits) / waitingBytesDivisor},
+        AdmissionQueue::Limits{.maxWaiting =
+                                   static_cast<std::size_t>(settings.admission.maxWaiting),
+                               .maxWaitingBytes = partOfMemory(settings.limits, bodyMemoryShare)
+                                   / waitingBytesDivisor},
         randomSeed());
 }
 
