--- a/modules/jy_gateway/settings/GatewaySettings.cpp
+++ b/modules/jy_gateway/settings/GatewaySettings.cpp
@@ -55,7 +55,8 @@
         {"cores", "Number of cores, or the speed of one core relative to a standard core."}, cores,
         {0.001, 1024});
     visitor.number(
-        {"memoryMb", "Memory in MB; message bodies held at one time may use a quarter of it."},
+        {"memoryMb",
+         "Memory in MB; callers may make the instance hold half of it, message bodies a quarter."},
         memoryMb, {16, 1'048'576});
     visitor.number(
         {"linkMbps",
--- a/modules/jy_http/jy_http.h
+++ b/modules/jy_http/jy_http.h
@@ -11,7 +11,7 @@
 #include "jy_http/messages/Cancellation.h"
 #include "jy_http/messages/HttpHeaders.h"
 #include "jy_http/messages/HttpMessage.h"
-#include "jy_http/server/HttpResponder.h"
 #include "jy_http/server/CallerMemory.h"
+#include "jy_http/server/HttpResponder.h"
 #include "jy_http/server/HttpServer.h"
 #include "jy_http/sse/SseParser.h"
