--- a/modules/jy_gateway/jy_gateway.h
+++ b/modules/jy_gateway/jy_gateway.h
@@ -22,6 +22,7 @@
 #include "jy_gateway/limits/SharedAllowance.h"
 #include "jy_gateway/model/FleetChange.h"
 #include "jy_gateway/model/RoutingConfig.h"
+#include "jy_gateway/peers/DutyMessages.h"
 #include "jy_gateway/peers/EntryBudget.h"
 #include "jy_gateway/peers/FleetClock.h"
 #include "jy_gateway/peers/HeartbeatCodec.h"
