--- a/tests/soak/SoakGateway.cpp
+++ b/tests/soak/SoakGateway.cpp
@@ -24,7 +24,8 @@
     const auto base = folder + '/' + place_.id;
     place_.writeSettings(base + ".json", storeAddress_, {seed},
                          R"(,"duties":{"names":["usage_report","autoscale"],"address":")"
-                             + toString(dutyApi) + R"(","usageWindowSeconds":2})");
+                             + toString(dutyApi)
+                             + R"(","usageWindowSeconds":2},"admission":{"enabled":true})");
     ending = false;
     process = std::make_shared<bench::ChildProcess>(
         JY_BINARY_DIR "/jygateway", std::vector<std::string>{"--settings=" + base + ".json"},
