Let two cut watches suffice in review case 7

Two cuts of each reading machine's watch, a second apart, keep the removed replica in use past drain_ms; before, the case cut one in 1.2 s all the time.

--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -13,10 +13,11 @@
 constexpr milliseconds onTheWay{100};
 
 // The replica serves for drain_ms and a little longer, then its process ends.
-constexpr milliseconds servesOn{4000};
+constexpr milliseconds servesOn{3000};
 
-// A machine's waiting watch is cut at most this often.
-constexpr milliseconds cutPeriod{1200};
+// Each machine's waiting watch is cut twice, at least this long apart.
+constexpr milliseconds cutPeriod{1000};
+constexpr int cutsOfMachine = 2;
 
 } // namespace
 
@@ -58,8 +59,8 @@
         });
     }
     if (trouble())
-        store.cutWatches(cutPeriod);
-    std::this_thread::sleep_for(milliseconds(2000));
+        store.cutWatches(cutPeriod, cutsOfMachine);
+    std::this_thread::sleep_for(milliseconds(900));
     const auto removed = leaving.leaveUnannounced();
     std::this_thread::sleep_for(servesOn);
     leaving.exit();
@@ -67,7 +68,6 @@
     stop = true;
     for (auto &client : clients)
         client.join();
-    store.cutWatches(milliseconds(0));
 
     int late = 0;
     double latest = 0;
--- a/review/standins-2/Store.cpp
+++ b/review/standins-2/Store.cpp
@@ -102,10 +102,11 @@
     return Clock::now();
 }
 
-void Store::cutWatches(milliseconds period)
+void Store::cutWatches(milliseconds period, int most)
 {
     const std::lock_guard lock(mutex_);
     cutPeriod_ = period;
+    mostCuts_ = most;
 }
 
 std::set<int> Store::takeWatchers()
@@ -162,7 +163,7 @@
     const auto end = Clock::now() + milliseconds(std::stoll(request.query("wait_ms")));
     std::unique_lock lock(mutex_);
     watchers_.insert(link);
-    const bool cuts = cutPeriod_.count() > 0;
+    const bool cuts = cutsOfLink_[link] < mostCuts_;
     const auto cutAt = std::max(Clock::now() + shortestWait, lastCut_[link] + cutPeriod_);
     json::array events;
     const auto ready = [&] {
@@ -180,6 +181,7 @@
     const bool cut = cuts && !changed && cutAt <= end;
     if (cut) {
         lastCut_[link] = Clock::now();
+        ++cutsOfLink_[link];
         ++cuts_;
     }
     if (stopped_ || cut) {
--- a/review/standins-2/Store.h
+++ b/review/standins-2/Store.h
@@ -22,9 +22,9 @@
     Clock::time_point put(const std::string &key, const std::string &value);
     Clock::time_point remove(const std::string &key);
 
-    /** From now on ends the connection of a waiting watch without a response, of each link at most
-     * once in @p period; zero ends none. */
-    void cutWatches(milliseconds period);
+    /** From now on ends waiting watches without a response: of each link at most @p most, at least
+     * @p period apart. */
+    void cutWatches(milliseconds period, int most);
 
     /** Number of watches cut so far. */
     int cuts() const { return cuts_; }
@@ -71,7 +71,9 @@
     std::uint64_t historyStart_ = 100;
     std::uint64_t nextLease_ = 1000;
     milliseconds cutPeriod_{0};
+    int mostCuts_ = 0;
     std::map<int, Clock::time_point> lastCut_;
+    std::map<int, int> cutsOfLink_;
     std::atomic<int> cuts_{0};
     std::set<int> watchers_;
     std::atomic<bool> stopped_{false};
