--- a/review/standins-2/Http.cpp
+++ b/review/standins-2/Http.cpp
@@ -288,7 +288,7 @@
         const auto response = handler_(*request, socket);
         if (response.drop || stopped_)
             return;
-        if (!response.written && !writeAll(socket, encode(response)))
+        if (!writeAll(socket, encode(response)))
             return;
         if (response.close)
             return;
--- a/review/standins-2/Http.h
+++ b/review/standins-2/Http.h
@@ -43,9 +43,6 @@
 
     /** Ends the connection without a response. */
     bool drop = false;
-
-    /** The handler has written the response itself. */
-    bool written = false;
     bool close = false;
 
     std::string header(const std::string &name) const { return headerOf(headers, name); }
