Return the memory of earlier callers to the system

Seen: crowds that leave and come back raise the resident memory of a gateway with each wave until its machine has no more. 400 connections with bodies of 200 KB at a server that takes 2.5 s, machine of 48 MB: peak 38.8, 44.3, 59.5, 68.5 MB in four waves, 68.5 MB resident afterwards. 1,500 connections at 160 MB: 93, 130, 171, 260. 3,500 connections with chunks of a byte: 94, 117, 130, 144; with heads of 62 fields of 250 bytes: 78, 93, 106, 123.

Cause: heap that is freed and not returned, no leak. glibc raises its mmap threshold to the size of each block that is freed, so that stacks of fibers and bodies come from the heap. Between blocks that stay, freed ones don't fit later requests.

Ruled out: the thresholds alone (16 KB and 64 KB, by environment): bodies 102, 102, 107, 107, but heads still 82, 95, 107, 120 and chunks 97, 105, 129, 132. malloc_trim() each second alone, by a preloaded library: heads 90 flat, bodies 99, 124, 135, 135. Both together are flat.

Change: both programs fix the mmap threshold at 64 KB when they start. CallerMemory calls malloc_trim() within a second of callers having freed an eighth of their share.

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -295,6 +295,10 @@
     supervisor_->addChild("housekeeping", [this](StopToken &stop) { runHousekeeping(stop); });
     supervisor_->addChild("stall-checks", [this](StopToken &stop) { runStallChecks(stop); });
     supervisor_->addChild("peer-copies", [this](StopToken &stop) { runPeerCopies(stop); });
+    supervisor_->addChild("freed-memory", [this](StopToken &stop) {
+        while (stop.sleepFor(CallerMemory::returnPeriod))
+            callerMemory_->returnFreedMemory();
+    });
     if (settings_.rollouts)
         supervisor_->addChild("rollouts", [this](StopToken &stop) { runRollouts(stop); });
     startDuties();
--- a/modules/jy_http/messages/ByteBudget.cpp
+++ b/modules/jy_http/messages/ByteBudget.cpp
@@ -15,6 +15,7 @@
         return false;
     used_ = others + to;
     peak_ = std::max(peak_, used_);
+    recentPeak_ = std::max(recentPeak_, used_);
     return true;
 }
 
--- a/modules/jy_http/messages/ByteBudget.h
+++ b/modules/jy_http/messages/ByteBudget.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <utility>
 
 namespace jy {
 
@@ -27,6 +28,9 @@
     /** Largest use so far. */
     std::size_t peak() const { return peak_; }
 
+    /** Largest use since the last call. */
+    std::size_t takeRecentPeak() { return std::exchange(recentPeak_, used_); }
+
     /** Called before a lease grows by this number of bytes; it must not resize leases. */
     void setBeforeGrowth(std::function<void(std::size_t)> beforeGrowth)
     {
@@ -48,6 +52,7 @@
     std::function<void(std::size_t)> beforeGrowth_;
     std::size_t used_ = 0;
     std::size_t peak_ = 0;
+    std::size_t recentPeak_ = 0;
 };
 
 /** Part of a ByteBudget that is given back when the lease ends. */
--- a/modules/jy_http/server/CallerMemory.cpp
+++ b/modules/jy_http/server/CallerMemory.cpp
@@ -11,6 +11,9 @@
 // Connections are closed when less than this part of the limit is left.
 constexpr std::size_t reservedDivisor = 8;
 
+// Freed memory is returned once it is this part of the limit.
+constexpr std::size_t freedDivisor = 8;
+
 constexpr std::chrono::seconds logInterval{1};
 
 } // namespace
@@ -43,6 +46,7 @@
 CallerMemory::CallerMemory(std::size_t limit, ClosedHook closed)
     : budget_(std::make_shared<ByteBudget>(limit))
     , closed_(std::move(closed))
+    , freed_(limit / freedDivisor)
 { }
 
 void CallerMemory::closed(MemoryClosure reason)
@@ -62,6 +66,12 @@
     closedSinceLogLine_ = 0;
 }
 
+void CallerMemory::returnFreedMemory()
+{
+    const auto peak = budget_->takeRecentPeak();
+    freed_.update(peak, budget_->used());
+}
+
 void CallerMemory::makeRoom(std::size_t bytes)
 {
     const auto target = budget_->limit() - budget_->limit() / reservedDivisor;
--- a/modules/jy_http/server/CallerMemory.h
+++ b/modules/jy_http/server/CallerMemory.h
@@ -2,6 +2,7 @@
 
 #include "jy_base/time/TimeTypes.h"
 #include "jy_http/messages/ByteBudget.h"
+#include "jy_runtime/program/FreedMemory.h"
 
 #include <cstdint>
 #include <functional>
@@ -44,6 +45,12 @@
     /** Reports and logs a closed connection; at most one log line per second. */
     void closed(MemoryClosure reason);
 
+    /** Time between two calls of returnFreedMemory(). */
+    static constexpr std::chrono::seconds returnPeriod{1};
+
+    /** Returns to the system what callers have freed, if it is much. */
+    void returnFreedMemory();
+
     /** What closing a connection had as its cause, and the bytes that this will free. */
     struct Closed
     {
@@ -102,6 +109,7 @@
 
     /** Bytes of closed connections whose fibers have not yet ended. */
     std::size_t leaving_ = 0;
+    FreedMemory freed_;
     TimePoint nextLogLine_;
     std::uint64_t closedSinceLogLine_ = 0;
 };
--- a/modules/jy_runtime/jy_runtime.h
+++ b/modules/jy_runtime/jy_runtime.h
@@ -12,6 +12,7 @@
 #include "jy_runtime/fibers/FiberToken.h"
 #include "jy_runtime/logging/Log.h"
 #include "jy_runtime/metrics/Metrics.h"
+#include "jy_runtime/program/FreedMemory.h"
 #include "jy_runtime/program/ProcessSignals.h"
 #include "jy_runtime/program/ProgramOptions.h"
 #include "jy_runtime/settings/RouterSettings.h"
--- a/programs/jygateway/main.cpp
+++ b/programs/jygateway/main.cpp
@@ -48,6 +48,7 @@
 
 int main(int argc, char **argv)
 {
+    jy::FreedMemory::returnLargeBlocks();
     jy::EventLoop loop;
     const auto signals = jy::ProcessSignals::create(loop);
     if (!signals)
--- a/programs/jyrouter/main.cpp
+++ b/programs/jyrouter/main.cpp
@@ -31,6 +31,7 @@
 
 int main(int argc, char **argv)
 {
+    jy::FreedMemory::returnLargeBlocks();
     jy::EventLoop loop;
     auto created = jy::ProcessSignals::create(loop);
     if (!created)
