Forward the body of a request without copying it

Seen: a body of a running request was in memory two times in a gateway and three times in a router, but counted once.

Cause: each attempt built a request of its own with the body in it; a router copied it once more for the chat or the service.

Change: HttpCallOptions::body names the bytes to send. The relays refer to the body of the caller's request, which outlives all attempts. requestHead() gets the size of the body.

Tests of jy_http, jy_router and jy_gateway pass; the test of requestHead() changed its call only.

--- a/modules/jy_gateway/relay/RelayExchange.cpp
+++ b/modules/jy_gateway/relay/RelayExchange.cpp
@@ -198,6 +198,7 @@
     HttpCallOptions options;
     options.cancellation = attempt.cancellation;
     options.keepHost = true;
+    options.body = request_.body;
     options.isOwnResponse = [this](int status, const HttpHeaders &headers) {
         const auto response = relay_.dependencies_.protocol.readResponseMetadata(status, headers);
         return response.requestId.empty() || response.requestId == metadata_.id.value();
@@ -225,7 +226,6 @@
     copy.method = request_.method;
     copy.target = request_.target;
     copy.headers = relay_.dependencies_.protocol.headersForServer(request_.headers, forward);
-    copy.body = request_.body;
     return copy;
 }
 
--- a/modules/jy_gateway/relay/RelayExchange.h
+++ b/modules/jy_gateway/relay/RelayExchange.h
@@ -130,6 +130,8 @@
     /** Records that the server ended the connection of an attempt. */
     void noteBroken(const RelayAttempt &attempt, BreakPoint point);
     Step callerLeft();
+
+    /** The request for a server, without its body. */
     HttpRequest outgoing(const ServerState &server, const ServerId &cachedAt) const;
     bool startResponse(const HttpStream &stream);
 
--- a/modules/jy_http/client/ClientExchange.cpp
+++ b/modules/jy_http/client/ClientExchange.cpp
@@ -110,7 +110,7 @@
     return success();
 }
 
-Result<void> HttpStream::Impl::send(const std::string &head, const std::string &body,
+Result<void> HttpStream::Impl::send(const std::string &head, std::string_view body,
                                     TimePoint deadline)
 {
     const SocketDeadline limit(connection_->socket, deadline, SocketDeadline::Effect::Close);
--- a/modules/jy_http/client/ClientExchange.h
+++ b/modules/jy_http/client/ClientExchange.h
@@ -22,7 +22,7 @@
     Result<void> connect(TimePoint deadline);
 
     /** Writes the request. */
-    Result<void> send(const std::string &head, const std::string &body, TimePoint deadline);
+    Result<void> send(const std::string &head, std::string_view body, TimePoint deadline);
 
     /** Reads the response head. @param head the request's method is HEAD */
     Result<void> receiveHead(bool head, std::size_t maxHeadBytes, TimePoint deadline);
--- a/modules/jy_http/client/HttpClient.cpp
+++ b/modules/jy_http/client/HttpClient.cpp
@@ -26,7 +26,8 @@
         const auto address = toString(endpoint);
         const auto host =
             options.keepHost ? request.headers.value("Host", address) : std::string_view(address);
-        BOOST_OUTCOME_TRY(auto head, requestHead(request, host));
+        const auto body = options.body.value_or(request.body);
+        BOOST_OUTCOME_TRY(auto head, requestHead(request, host, body.size()));
         const auto now = Clock::now();
         auto connection = options.freshConnection ? nullptr : pool_->take(endpoint, now);
         if (!connection)
@@ -38,7 +39,7 @@
         if (options.beforeSend) {
             BOOST_OUTCOME_TRYV2(auto &&, options.beforeSend());
         }
-        BOOST_OUTCOME_TRYV2(auto &&, exchange->send(head, request.body, deadline));
+        BOOST_OUTCOME_TRYV2(auto &&, exchange->send(head, body, deadline));
         BOOST_OUTCOME_TRYV2(
             auto &&,
             exchange->receiveHead(request.method == "HEAD", settings_.maxHeadBytes, deadline));
--- a/modules/jy_http/client/HttpClient.h
+++ b/modules/jy_http/client/HttpClient.h
@@ -8,6 +8,8 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string_view>
 
 namespace jy {
 
@@ -46,6 +48,12 @@
     /** Sends the Host field of the request instead of the address of the server. */
     bool keepHost = false;
 
+    /**
+     * Body to send in place of that of the request, so that a forwarded body is not copied. It must
+     * stay valid until the head of the response has arrived or the call has failed.
+     */
+    std::optional<std::string_view> body;
+
     /**
      * Asked once the connection is open and before the first byte is written; may be empty. An
      * error ends the exchange and is returned as it is: the request has not been sent.
--- a/modules/jy_http/wire/HeadWriter.cpp
+++ b/modules/jy_http/wire/HeadWriter.cpp
@@ -77,7 +77,8 @@
         boost::beast::http::int_to_status(static_cast<unsigned>(status)));
 }
 
-Result<std::string> requestHead(const HttpRequest &request, std::string_view host)
+Result<std::string> requestHead(const HttpRequest &request, std::string_view host,
+                                std::size_t bodySize)
 {
     if (!isToken(request.method))
         return failure(ErrorKind::BadRequest, "the request method is not a token");
@@ -92,8 +93,8 @@
         if (!hop && !equalsIgnoringCase(name, "Host"))
             appendField(out, name, value);
     }
-    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
-        appendField(out, "Content-Length", std::to_string(request.body.size()));
+    if (bodySize > 0 || (request.method != "GET" && request.method != "HEAD"))
+        appendField(out, "Content-Length", std::to_string(bodySize));
     return out + "\r\n";
 }
 
--- a/modules/jy_http/wire/HeadWriter.h
+++ b/modules/jy_http/wire/HeadWriter.h
@@ -17,10 +17,12 @@
 /**
  * Serialises a request head. Framing and connection fields of @p request are replaced.
  *
+ * @param bodySize of the body that follows, which need not be that of @p request
  * @returns BadRequest when a method, target or header field contains characters that would change
  *          the structure of the message (request smuggling, header injection)
  */
-Result<std::string> requestHead(const HttpRequest &request, std::string_view host);
+Result<std::string> requestHead(const HttpRequest &request, std::string_view host,
+                                std::size_t bodySize);
 
 /** Serialises a response head; invalid header fields are dropped. */
 std::string responseHead(int status, const HttpHeaders &headers, BodyFraming framing,
--- a/modules/jy_platform/engine/ChatStream.cpp
+++ b/modules/jy_platform/engine/ChatStream.cpp
@@ -56,7 +56,6 @@
     request.headers.add("X-Priority", toString(call.priority));
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - now);
     request.headers.add("X-Deadline-Ms", std::to_string(std::max<std::int64_t>(0, left.count())));
-    request.body = call.body;
     return request;
 }
 
@@ -179,7 +178,8 @@
 {
     auto request = chatRequest(call_, Clock::now());
     request.headers.add("Last-Event-ID", std::to_string(lastId_));
-    const HttpCallOptions options{.freshConnection = true, .cancellation = cancellation_};
+    const HttpCallOptions options{
+        .freshConnection = true, .cancellation = cancellation_, .body = call_.body};
     const auto timeout = std::min(timeLeft(call_.deadline), settings_.eventTimeout);
     BOOST_OUTCOME_TRY(auto response, client_->open(engine_, request, timeout, options));
     const auto resumedFrom = parseId(response->headers().value("X-Resumed-From"));
--- a/modules/jy_platform/engine/ChatStream.h
+++ b/modules/jy_platform/engine/ChatStream.h
@@ -96,7 +96,8 @@
     std::optional<bool> cacheHit_;
 };
 
-/** Builds the chat completions request of @p call. Internal to the engine adapter. */
+/** Builds the chat completions request of @p call, without its body. Internal to the engine
+ * adapter. */
 HttpRequest chatRequest(const ChatCall &call, TimePoint now);
 
 /** Ends a generation in a fiber of its own, ignoring failures. Internal to the engine adapter. */
--- a/modules/jy_platform/engine/EngineClient.cpp
+++ b/modules/jy_platform/engine/EngineClient.cpp
@@ -119,7 +119,7 @@
     if (left.count() <= 0)
         return failure(ErrorKind::DeadlineTooShort, "no time is left for the request");
     auto result = client_->request(engine, chatRequest(call, Clock::now()), left,
-                                   {.cancellation = cancellation});
+                                   {.cancellation = cancellation, .body = call.body});
     if (!result) {
         if (mayBeRunning(result.error().kind))
             cancelDetached(client_, engine, call.requestId, settings_.controlTimeout);
@@ -139,7 +139,8 @@
         return failure(ErrorKind::DeadlineTooShort, "no time is left for the request");
     auto request = chatRequest(call, Clock::now());
     request.headers.add("Accept", "text/event-stream");
-    auto response = client_->open(engine, request, left, {.cancellation = cancellation});
+    auto response =
+        client_->open(engine, request, left, {.cancellation = cancellation, .body = call.body});
     if (!response) {
         if (mayBeRunning(response.error().kind))
             cancelDetached(client_, engine, call.requestId, settings_.controlTimeout);
--- a/modules/jy_platform/engine/EngineTypes.h
+++ b/modules/jy_platform/engine/EngineTypes.h
@@ -27,8 +27,8 @@
 
     Priority priority = Priority::Normal;
 
-    /** JSON body as the caller sent it. */
-    std::string body;
+    /** JSON body as the caller sent it; must outlive the call. */
+    std::string_view body;
 
     TimePoint deadline;
 };
--- a/modules/jy_router/caller/ServiceRelay.cpp
+++ b/modules/jy_router/caller/ServiceRelay.cpp
@@ -107,7 +107,8 @@
     const auto service = findService(*state, target.value().service);
     if (!service)
         return service.error();
-    const auto outgoing = forwarded(request, target.value());
+    auto outgoing = forwarded(request, target.value());
+    body_ = request.body;
     const bool once = isProtected(*service.value(), request.method, target.value().path);
     const auto response = once ? callProtected(outgoing, target.value())
                                : call(outgoing, target.value().service, false);
@@ -136,7 +137,7 @@
 
 HttpRequest ServiceRelay::forwarded(const HttpRequest &request, const ServiceTarget &target) const
 {
-    HttpRequest out{.method = request.method, .target = target.target, .body = request.body};
+    HttpRequest out{.method = request.method, .target = target.target};
     for (const auto &[name, value] : request.headers) {
         if (!isDropped(name))
             out.headers.add(name, value);
@@ -145,21 +146,21 @@
     return out;
 }
 
-Result<HttpResponse> ServiceRelay::callProtected(const HttpRequest &forwarded,
+Result<HttpResponse> ServiceRelay::callProtected(HttpRequest &forwarded,
                                                  const ServiceTarget &target)
 {
     if (forwarded.headers.count("Idempotency-Key") != 1)
         return failure(ErrorKind::KeyInvalid, "the call needs one Idempotency-Key header");
-    const ProtectedCallInput input{.service = target.service,
-                                   .key = std::string(forwarded.headers.value("Idempotency-Key")),
-                                   .digest = protectedCallDigest(target.service, forwarded.method,
-                                                                 forwarded.target, forwarded.body),
-                                   .deadline = context_.deadline};
+    const ProtectedCallInput input{
+        .service = target.service,
+        .key = std::string(forwarded.headers.value("Idempotency-Key")),
+        .digest = protectedCallDigest(target.service, forwarded.method, forwarded.target, body_),
+        .deadline = context_.deadline};
     return dependencies_.protectedCall(input,
                                        [&] { return call(forwarded, target.service, true); });
 }
 
-Result<HttpResponse> ServiceRelay::call(const HttpRequest &forwarded, const ServiceId &service,
+Result<HttpResponse> ServiceRelay::call(HttpRequest &forwarded, const ServiceId &service,
                                         bool isProtected)
 {
     BOOST_OUTCOME_TRY(auto servers, dependencies_.rankServices(context_, service));
@@ -171,14 +172,13 @@
     // A protected call goes on when its caller leaves, so that its outcome is recorded. It uses a
     // new connection, because a reused one may be closed by the service while the call is on its
     // way.
-    const HttpCallOptions options{.freshConnection = isProtected,
-                                  .cancellation = plan.cancellation};
+    const HttpCallOptions options{
+        .freshConnection = isProtected, .cancellation = plan.cancellation, .body = body_};
     std::optional<HttpResponse> response;
     const auto error = loop_.run(plan, [&](const BackendServer &server) {
-        auto request = forwarded;
         const auto left = timeLeft(context_.deadline, Clock::now());
-        request.headers.set("X-Deadline-Ms", std::to_string(left.count()));
-        auto result = dependencies_.client->request(server.endpoint, request, left, options);
+        forwarded.headers.set("X-Deadline-Ms", std::to_string(left.count()));
+        auto result = dependencies_.client->request(server.endpoint, forwarded, left, options);
         Attempt attempt;
         if (!result) {
             attempt.error = result.error();
--- a/modules/jy_router/caller/ServiceRelay.h
+++ b/modules/jy_router/caller/ServiceRelay.h
@@ -49,15 +49,21 @@
 
 private:
     Result<const ServiceSpec *> findService(const DesiredState &state, const ServiceId &id) const;
-    Result<HttpResponse> callProtected(const HttpRequest &forwarded, const ServiceTarget &target);
-    Result<HttpResponse> call(const HttpRequest &forwarded, const ServiceId &service,
-                              bool isProtected);
+    Result<HttpResponse> callProtected(HttpRequest &forwarded, const ServiceTarget &target);
+
+    /** @param forwarded gets the time left at each attempt */
+    Result<HttpResponse> call(HttpRequest &forwarded, const ServiceId &service, bool isProtected);
+
+    /** The request for the service, without its body. */
     HttpRequest forwarded(const HttpRequest &request, const ServiceTarget &target) const;
 
     const CallerDependencies &dependencies_;
     AttemptLoop loop_;
     CallContext context_;
     HttpResponder &responder_;
+
+    /** Body of the request that run() serves. */
+    std::string_view body_;
 };
 
 } // namespace jy
--- a/tests/jy_http/HeadWriterTest.cpp
+++ b/tests/jy_http/HeadWriterTest.cpp
@@ -22,7 +22,7 @@
     const auto &param = GetParam();
     const HttpHeaders headers{{"Connection", param.connection}, {param.field, "value"}};
     const std::string line = std::string(param.field) + ": value";
-    const auto request = requestHead({.headers = headers}, "h");
+    const auto request = requestHead({.headers = headers}, "h", 0);
     ASSERT_TRUE(request);
     EXPECT_EQ(request.value().find(line) != std::string::npos, param.passes);
     const auto response = responseHead(200, headers, BodyFraming::Length, 0, true);
