Bound the memory that the callers of a router make it hold

Seen: a router had no account of its callers. 400 connections with bodies of 200 KB at a service that takes 2.5 s: peak 153.8 MB, 112.5 MB resident after they had left. 1,500 connections: 404.3 and 356.7 MB; with bodies of 64 KB in chunks that stop short of their end 192.4 MB. 400 connections: bodies of 64 KB less a byte 58 to 61 MB, in chunks 59 to 70 MB, at each address.

Cause: only the number of connections, heads and each single body had limits.

Change: CallerMemoryShares, taken from the gateway, makes the account and its part for bodies for both programs. A router has limits.memoryMb (256 by default). Both of its servers share the account, and freed memory is returned each second. limits.maxBodyBytes may be at most a quarter of limits.memoryMb, so that a single body within the limits finds room.

--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -56,35 +56,6 @@
 constexpr std::size_t operatorHeadBytes = 8 * 1024;
 constexpr std::size_t operatorBodyBytes = 64 * 1024;
 
-std::size_t partOfMemory(const GatewayLimitSettings &limits, double share)
-{
-    constexpr double bytesPerMb = 1024 * 1024;
-    return static_cast<std::size_t>(limits.memoryMb * bytesPerMb * share);
-}
-
-// The other half is left to the process itself.
-constexpr double callerMemoryShare = 0.5;
-
-// Part of the memory for callers. A forwarded body is in memory twice, so a quarter uses half.
-constexpr double bodyMemoryShare = 0.25;
-
-std::shared_ptr<CallerMemory> makeCallerMemory(const GatewayLimitSettings &limits, Metrics &metrics)
-{
-    auto memory = CallerMemory::create(
-        partOfMemory(limits, callerMemoryShare), [&metrics](MemoryClosure reason) {
-            metrics
-                .counter("jy_caller_connections_closed_total",
-                         "Connections closed for lack of memory for callers.",
-                         {{"reason", std::string(toString(reason))}})
-                .add();
-        });
-    auto &held =
-        metrics.gauge("jy_caller_memory_bytes", "Memory that callers make this instance hold.");
-    metrics.addCollector(
-        [memory, &held] { held.set(static_cast<double>(memory->budget()->used())); });
-    return memory;
-}
-
 RegisteredInstance describeSelf(const GatewaySettings &settings)
 {
     constexpr double thousandths = 1000;
@@ -99,7 +70,8 @@
 }
 
 std::unique_ptr<ServiceAdmission> createAdmission(EventLoop &loop, Metrics &metrics,
-                                                  const GatewaySettings &settings)
+                                                  const GatewaySettings &settings,
+                                                  const ByteBudget &bodies)
 {
     // Bodies of waiting requests may take a quarter of the memory for bodies.
     constexpr std::size_t waitingBytesDivisor = 4;
@@ -109,8 +81,7 @@
         loop, metrics,
         AdmissionQueue::Limits{.maxWaiting =
                                    static_cast<std::size_t>(settings.admission.maxWaiting),
-                               .maxWaitingBytes = partOfMemory(settings.limits, bodyMemoryShare)
-                                   / waitingBytesDivisor},
+                               .maxWaitingBytes = bodies.limit() / waitingBytesDivisor},
         randomSeed());
 }
 
@@ -129,9 +100,7 @@
     , settingsFile_(std::move(settingsFile))
     , adapter_(std::move(adapter))
     , self_(describeSelf(settings_))
-    , callerMemory_(makeCallerMemory(settings_.limits, metrics_))
-    , bodyBudget_(std::make_shared<ByteBudget>(partOfMemory(settings_.limits, bodyMemoryShare),
-                                               callerMemory_->budget()))
+    , callerMemory_(CallerMemoryShares::create(settings_.limits.memoryMb, metrics_))
     , storeClient_(HttpClient::create(loop, {.connectTimeout = milliseconds(400)}))
     , dutyClient_(HttpClient::create(loop, {.connectTimeout = milliseconds(400)}))
     , serverClient_(HttpClient::create(
@@ -158,7 +127,7 @@
                     [this] { return era_.current(); })
     , peers_(self_.id)
     , incarnation_(unixMilliseconds())
-    , serviceAdmission_(createAdmission(loop_, metrics_, settings_))
+    , serviceAdmission_(createAdmission(loop_, metrics_, settings_, *callerMemory_.bodies))
     , stalls_([this](const ServerId &server) { return isFull(server); })
     , cold_(self_.id)
     , quarantine_(self_.id)
@@ -193,7 +162,7 @@
               .protocol = adapter_.protocol,
               .metrics = metrics_,
               .admission = serviceAdmission_.get(),
-              .bodyBudget = bodyBudget_,
+              .bodyBudget = callerMemory_.bodies,
               .awaitConfig = [this](milliseconds longest) { awaitConfig(longest); },
               .readyAfter =
                   [this] { return sync_.lost() ? storeOutageRetryAfter : startupRetryAfter; },
@@ -265,8 +234,8 @@
                                .maxBodyBytes = maxBodyBytes,
                                .maxConnections = maxConnections,
                                .maxConnectionsPerSource = maxConnections,
-                               .bodyBudget = bodyBudget_,
-                               .memory = callerMemory_},
+                               .bodyBudget = callerMemory_.bodies,
+                               .memory = callerMemory_.all},
                               std::move(handler));
 }
 
@@ -297,7 +266,7 @@
     supervisor_->addChild("peer-copies", [this](StopToken &stop) { runPeerCopies(stop); });
     supervisor_->addChild("freed-memory", [this](StopToken &stop) {
         while (stop.sleepFor(CallerMemory::returnPeriod))
-            callerMemory_->returnFreedMemory();
+            callerMemory_.all->returnFreedMemory();
     });
     if (settings_.rollouts)
         supervisor_->addChild("rollouts", [this](StopToken &stop) { runRollouts(stop); });
--- a/modules/jy_gateway/assembly/Gateway.h
+++ b/modules/jy_gateway/assembly/Gateway.h
@@ -18,6 +18,7 @@
 #include "jy_gateway/rollouts/RolloutJudge.h"
 #include "jy_gateway/rollouts/RolloutTraffic.h"
 #include "jy_gateway/settings/GatewaySettings.h"
+#include "jy_http/server/CallerMemoryShares.h"
 #include "jy_http/server/HttpServer.h"
 #include "jy_runtime/program/ProcessSignals.h"
 #include "jy_runtime/supervision/Supervisor.h"
@@ -164,8 +165,7 @@
     PlatformAdapter adapter_;
     RegisteredInstance self_;
     Metrics metrics_;
-    std::shared_ptr<CallerMemory> callerMemory_;
-    std::shared_ptr<ByteBudget> bodyBudget_;
+    CallerMemoryShares callerMemory_;
 
     std::unique_ptr<HttpClient> storeClient_;
     std::unique_ptr<HttpClient> dutyClient_;
--- a/modules/jy_http/jy_http.h
+++ b/modules/jy_http/jy_http.h
@@ -12,6 +12,7 @@
 #include "jy_http/messages/HttpHeaders.h"
 #include "jy_http/messages/HttpMessage.h"
 #include "jy_http/server/CallerMemory.h"
+#include "jy_http/server/CallerMemoryShares.h"
 #include "jy_http/server/HttpResponder.h"
 #include "jy_http/server/HttpServer.h"
 #include "jy_http/sse/SseParser.h"
--- a/modules/jy_router/assembly/Router.cpp
+++ b/modules/jy_router/assembly/Router.cpp
@@ -80,6 +80,8 @@
     caller.maxBodyBytes = static_cast<std::size_t>(settings.limits.maxBodyBytes);
     caller.maxConnections = static_cast<std::size_t>(settings.limits.maxConnections);
     caller.maxConnectionsPerSource = caller.maxConnections;
+    caller.bodyBudget = context_.callerMemory.bodies;
+    caller.memory = context_.callerMemory.all;
     BOOST_OUTCOME_TRY(
         callerServer_,
         HttpServer::create(context_.loop, caller, [this](const auto &request, auto &responder) {
@@ -88,6 +90,8 @@
 
     HttpServerSettings operations;
     operations.listen = settings.listen.operations;
+    operations.bodyBudget = context_.callerMemory.bodies;
+    operations.memory = context_.callerMemory.all;
     auto operatorHooks = operatorDependencies(context_, operatorKeys_);
     collectStatusMetrics(context_.metrics, operatorHooks.status, context_.events);
     context_.metrics.addCollector([this] {
@@ -136,6 +140,8 @@
             updateOwnership();
         },
         ChildKind::Transient);
+    addPeriodicTask({"freed-memory", CallerMemory::returnPeriod,
+                     [this] { context_.callerMemory.all->returnFreedMemory(); }});
     addPeriodicTask({"moves", MoveDriver::period, [this] { context_.moves->tick(); }});
     addPeriodicTask({"orders", OrderDriver::period, [this] { context_.orders->tick(); }});
     for (const auto &task : context_.owner->tasks())
--- a/modules/jy_router/assembly/RouterContext.cpp
+++ b/modules/jy_router/assembly/RouterContext.cpp
@@ -24,6 +24,7 @@
     , incarnation(startTime())
     , events(settings.instance.id.value(),
              static_cast<std::size_t>(settings.limits.eventBufferEvents))
+    , callerMemory(CallerMemoryShares::create(settings.limits.memoryMb, metrics))
     , directory(
           settings.instance.region,
           [this](const WorkspaceId &workspace, const ModelSpec &model, std::uint64_t chatHash) {
--- a/modules/jy_router/assembly/RouterContext.h
+++ b/modules/jy_router/assembly/RouterContext.h
@@ -41,6 +41,7 @@
 
     EventBuffer events;
     Metrics metrics;
+    CallerMemoryShares callerMemory;
 
     std::shared_ptr<KeyRing> keys;
     std::shared_ptr<HttpClient> http;
--- a/modules/jy_runtime/settings/RouterSettings.cpp
+++ b/modules/jy_runtime/settings/RouterSettings.cpp
@@ -144,6 +144,10 @@
 
 void LimitSettings::describe(SettingsVisitor &visitor)
 {
+    visitor.number(
+        {"memoryMb",
+         "Memory in MB; callers may make the router hold half of it, message bodies a quarter."},
+        memoryMb, {16, 1'048'576});
     visitor.count({"maxConnections", "Caller connections; further ones are refused."},
                   maxConnections, {1, 1'000'000});
     visitor.count({"maxHeaderBytes", "Largest request header."}, maxHeaderBytes,
@@ -159,6 +163,11 @@
     visitor.number(
         {"minRetriesPerSecond", "Retries allowed per second regardless of the number of requests."},
         minRetriesPerSecond, {0, 1000});
+    constexpr double bytesPerMb = 1024 * 1024;
+    constexpr double bodyShare = 0.25;
+    visitor.rule("maxBodyBytes",
+                 static_cast<double>(maxBodyBytes) <= memoryMb * bytesPerMb * bodyShare,
+                 "at most a quarter of memoryMb");
 }
 
 void RouterSettings::describe(SettingsVisitor &visitor)
--- a/modules/jy_runtime/settings/RouterSettings.h
+++ b/modules/jy_runtime/settings/RouterSettings.h
@@ -131,6 +131,7 @@
 
 struct LimitSettings
 {
+    double memoryMb = 256;
     int maxConnections = 4096;
     std::int64_t maxHeaderBytes = 16 * 1024;
     std::int64_t maxBodyBytes = 4 * 1024 * 1024;
--- a/tests/jy_runtime/SettingsTest.cpp
+++ b/tests/jy_runtime/SettingsTest.cpp
@@ -109,6 +109,10 @@
                 R"("probePeriodMs": 500, "probeTimeoutMs": 500)",
                 "router.json: timings.probeTimeoutMs: 500 is not allowed; allowed: less than "
                 "probePeriodMs"},
+        BadFile{"BodyBeyondTheMemory", R"("timings")",
+                R"("limits": {"memoryMb": 16, "maxBodyBytes": 4194305}, "timings")",
+                "router.json: limits.maxBodyBytes: 4194305 is not allowed; allowed: at most a "
+                "quarter of memoryMb"},
         BadFile{"Choice", R"("timings")", R"("logLevel": "loud", "timings")",
                 "router.json: logLevel: \"loud\" is not allowed; allowed: one of \"debug\", "
                 "\"info\", \"warn\", \"error\""},
