Take a status outside of 100 to 599 for a broken response

The relays deliver every status below 500 that is no 2xx and no refusal.

Cause: Beast's parser accepts any three digits.

Change: HttpClient reports such a response as BackendBroken, so that a request that may be repeated is, and other callers get 502.

--- a/modules/jy_http/client/ClientExchange.cpp
+++ b/modules/jy_http/client/ClientExchange.cpp
@@ -27,6 +27,10 @@
 constexpr int maxSkippedResponses = 8;
 constexpr std::size_t maxSkippedBytes = 1024 * 1024;
 
+// The parser accepts every number of three digits.
+constexpr int lowestStatus = 100;
+constexpr int highestStatus = 599;
+
 // A shorter wait would miss bytes that have already arrived.
 constexpr std::chrono::milliseconds shortestRead{1};
 
@@ -160,6 +164,8 @@
     if (error)
         return error;
     status_ = static_cast<int>(parser_->get().result_int());
+    if (status_ < lowestStatus || status_ > highestStatus)
+        return http::error::bad_status;
     headers_ = {};
     for (const auto &field : parser_->get())
         headers_.add(field.name_string(), field.value());
