Do not deliver an early response that is cut during the upload as complete

Cause: the write fails first and takes the error of the socket. Reads then return what has arrived and a plain end, which ends a body without a length.

Change: after a failed write, the end of the connection does not end a body; HttpClient returns BackendBroken. A server that closes with unread bytes of the request resets the connection as well, so that the two cannot be told apart.

--- a/modules/jy_http/client/ClientExchange.cpp
+++ b/modules/jy_http/client/ClientExchange.cpp
@@ -224,8 +224,15 @@
         size = part.size() - body.size;
     }
     part.resize(size);
-    if (size == 0)
-        finish();
+    if (size > 0)
+        return part;
+    // The failed write has taken the error of the socket, so that a reset looks like an end.
+    if (parser_->need_eof() && !requestSent_) {
+        connection_.reset();
+        return failure(ErrorKind::BackendBroken,
+                       "response of " + toString(endpoint_) + " was cut during the upload");
+    }
+    finish();
     return part;
 }
 
--- a/tests/jy_http/HttpClientTest.cpp
+++ b/tests/jy_http/HttpClientTest.cpp
@@ -133,6 +133,38 @@
     });
 }
 
+class ResponseDuringUpload : public testing::TestWithParam<bool>
+{ };
+
+// Guards against an early response without a length that is cut while the request is still being
+// written, and delivered as complete: the failed write takes the error of the socket, so that the
+// reads after it see a plain end.
+TEST_P(ResponseDuringUpload, IsNotCompleteWhenItIsCut)
+{
+    jy::EventLoop loop;
+    loop.run([&] {
+        const bool reset = GetParam();
+        const RawServer backend(loop, [&](tcp::socket &socket, int) {
+            RawServer::readHead(socket);
+            RawServer::write(socket, "HTTP/1.1 200 OK\r\nSeal: s\r\n\r\npart");
+            jy::EventLoop::sleepFor(5ms);
+            if (reset)
+                socket.set_option(boost::asio::socket_base::linger(true, 0));
+            // Unread bytes of the request make a plain close a reset, too.
+            socket.close();
+        });
+        auto client = jy::HttpClient::create(loop, clientSettings());
+        const jy::HttpRequest request{.method = "POST", .body = std::string(8000000, 'x')};
+        const auto result = client->request(backend.endpoint(), request, 2s);
+        ASSERT_FALSE(result) << result.value().body;
+        EXPECT_EQ(result.error().kind, K::BackendBroken) << result.error().message;
+    });
+}
+
+INSTANTIATE_TEST_SUITE_P(Ends, ResponseDuringUpload, testing::Bool(), [](const auto &info) {
+    return std::string(info.param ? "Reset" : "Close");
+});
+
 struct EndlessInput
 {
     std::string name;
