Read the body of a chat request without storing its values

Seen: one request of 4 MB, which the limits allow, with the member "metadata": [0,0,...] raises the resident memory of a router to 123 MB; the bound is 56 MB.

Cause: the body was parsed into a tree of values, which takes over twenty times the two bytes of each, although only "model" and "stream" are used.

Change: ChatBody reads the two members while the parser checks the rest.

HostileRouterRequest.WithManyValuesCostsNoMoreThanItsBody failed before.

--- a/modules/jy_router/caller/ChatRelay.cpp
+++ b/modules/jy_router/caller/ChatRelay.cpp
@@ -1,7 +1,6 @@
 #include "jy_router/caller/ChatRelay.h"
 
-#include <boost/json/parse.hpp>
-#include <boost/json/value.hpp>
+#include "jy_router/caller/ChatBody.h"
 
 namespace jy {
 
@@ -10,29 +9,6 @@
 
 namespace {
 
-struct ChatBody
-{
-    ModelId model;
-    bool stream = false;
-};
-
-Result<ChatBody> readBody(const std::string &text)
-{
-    boost::system::error_code error;
-    const auto value = boost::json::parse(text, error);
-    if (error || !value.is_object())
-        return failure(ErrorKind::BadRequest, "the body must be a JSON object");
-    const auto &object = value.as_object();
-    const auto *model = object.if_contains("model");
-    if (model == nullptr || !model->is_string() || model->as_string().empty())
-        return failure(ErrorKind::BadRequest, "the member \"model\" must be a text");
-    const auto *stream = object.if_contains("stream");
-    if (stream != nullptr && !stream->is_bool() && !stream->is_null())
-        return failure(ErrorKind::BadRequest, "the member \"stream\" must be true or false");
-    return ChatBody{ModelId(std::string(model->as_string())),
-                    stream != nullptr && stream->is_bool() && stream->as_bool()};
-}
-
 std::optional<bool> cacheHit(const HttpHeaders &headers)
 {
     const auto value = headers.find("X-Cache-Hit");
@@ -48,7 +24,7 @@
 
 std::optional<Error> ChatRelay::run(const HttpRequest &request)
 {
-    const auto body = readBody(request.body);
+    const auto body = ChatBody::read(request.body);
     if (!body)
         return body.error();
     const auto servers = dependencies_.rankEngines(context_, body.value().model);
--- a/tests/integration/HostileRouterCallersTest.cpp
+++ b/tests/integration/HostileRouterCallersTest.cpp
@@ -219,4 +219,34 @@
 INSTANTIATE_TEST_SUITE_P(Crowds, HostileRouterWavesTest, testing::ValuesIn(completeBehaviours),
                          [](const auto &behaviour) { return behaviour.param.name; });
 
+// Guards against a body of permitted size that takes many times its size while it is read, because
+// it has very many small values.
+TEST(HostileRouterRequest, WithManyValuesCostsNoMoreThanItsBody)
+{
+    withRouter([](jy::EventLoop &, Fleet &fleet) {
+        constexpr std::size_t bodyBytes = 4 * kilobyte * kilobyte;
+        jy::HttpRequest request{.method = "POST",
+                                .target = "/v1/chat/completions",
+                                .headers = {{"X-Workspace", "harbour"}}};
+        request.body = R"({"model":"drift-chat","messages":[{"role":"user","content":"a"}],)"
+                       R"("metadata":[0)";
+        while (request.body.size() + 4 <= bodyBytes)
+            request.body += ",0";
+        request.body += "]}";
+        // Engines are in service a while after their start.
+        EXPECT_TRUE(Fleet::waitUntil(
+                        [&] {
+                            const auto response =
+                                fleet.http().request(fleet.callerEndpoint(0), request, 10s);
+                            return response && response.value().status == 200;
+                        },
+                        20s)
+                        .has_value());
+        EXPECT_TRUE(fleet.router(0).running());
+        const auto most = ProcessUsage(fleet.router(0)).peakMb();
+        EXPECT_LT(most, routerMemory());
+        std::cout << "most " << most << " MB\n";
+    });
+}
+
 } // namespace
