Bound the parts of a prompt that a running request stores

Seen: 400 requests with 7,500 empty prompt parts in a head of 16 KB, at a server that takes 2.5 s, raise the resident memory of a gateway to 121 MB; the bound is 48 MB.

Cause: each part of two bytes is stored as a text with a number, 40 bytes, for as long as the request runs. The account counts the head only.

Change: limits.maxPromptParts, 256 by default, bounds the parts that are stored, from the last one on. A longer prompt is served; its first parts count neither for placement nor for the quarantine of crashing prompts.

HostileWavesTest ManyPromptParts failed before. CodecTest passes the number of parts and checks that the last ones are kept.

--- a/modules/jy_gateway/adapter/CallerProtocol.h
+++ b/modules/jy_gateway/adapter/CallerProtocol.h
@@ -31,7 +31,7 @@
     /** Workspace key; empty if the request has none. */
     std::string credential;
 
-    /** Parts of the prompt in order; empty for requests without a prompt. */
+    /** The last parts of the prompt in order; empty for requests without a prompt. */
     std::vector<PromptPart> prompt;
 
     /** Maximum number of tokens to generate. */
@@ -117,7 +117,8 @@
 /** Translates between the platform's HTTP fields and metadata; contains no routing decisions. */
 struct CallerProtocol
 {
-    std::function<RequestMetadata(const HttpHeaders &)> readRequestMetadata;
+    std::function<RequestMetadata(const HttpHeaders &, std::size_t maxPromptParts)>
+        readRequestMetadata;
 
     /** The caller's header fields without those reserved for this system, plus the system's own. */
     std::function<HttpHeaders(const HttpHeaders &, const ForwardMetadata &)> headersForServer;
--- a/modules/jy_gateway/assembly/Gateway.cpp
+++ b/modules/jy_gateway/assembly/Gateway.cpp
@@ -171,7 +171,8 @@
                                TimePoint deadline) { return admission_.admits(now, deadline); },
               .attemptBegan = [this](const WorkspaceId &workspace,
                                      TimePoint began) { duties_.attemptBegan(workspace, began); }},
-             {}, randomSeed())
+             {.maxPromptParts = static_cast<std::size_t>(settings_.limits.maxPromptParts)},
+             randomSeed())
 {
     if (!serviceAdmission_)
         return;
--- a/modules/jy_gateway/relay/RequestRelay.cpp
+++ b/modules/jy_gateway/relay/RequestRelay.cpp
@@ -26,7 +26,8 @@
 void RequestRelay::handle(const HttpRequest &request, HttpResponder &responder)
 {
     const auto start = Clock::now();
-    const auto metadata = dependencies_.protocol.readRequestMetadata(request.headers);
+    const auto metadata =
+        dependencies_.protocol.readRequestMetadata(request.headers, settings_.maxPromptParts);
     if (!dependencies_.fleet.config())
         dependencies_.awaitConfig(startupWait(metadata));
     const auto config = dependencies_.fleet.config();
--- a/modules/jy_gateway/relay/RequestRelay.h
+++ b/modules/jy_gateway/relay/RequestRelay.h
@@ -78,6 +78,9 @@
      * requests. Ten times the request rate of an instance at the fleet size planned in two years.
      */
     int logLinesPerSecond = 100;
+
+    /** Parts of a prompt that are stored while a request runs, the last ones of longer prompts. */
+    std::size_t maxPromptParts = 256;
 };
 
 /** References must outlive the relay. */
--- a/modules/jy_gateway/settings/GatewaySettings.cpp
+++ b/modules/jy_gateway/settings/GatewaySettings.cpp
@@ -63,6 +63,10 @@
          "Bandwidth of the link in Mbit/s; instances with the widest links read the store "
          "for the others."},
         linkMbps, {0.001, 1e6});
+    visitor.count({"maxPromptParts",
+                   "Parts of a prompt that count for placement and quarantine; of longer prompts "
+                   "the last ones."},
+                  maxPromptParts, {2, 65536});
 }
 
 void GatewayDutySettings::describe(SettingsVisitor &visitor)
--- a/modules/jy_gateway/settings/GatewaySettings.h
+++ b/modules/jy_gateway/settings/GatewaySettings.h
@@ -55,6 +55,9 @@
     /** Bandwidth of the link, in Mbit/s. */
     double linkMbps = 1000;
 
+    /** Parts of a prompt that count for placement and quarantine, the last ones of longer ones. */
+    int maxPromptParts = 256;
+
     void describe(SettingsVisitor &visitor);
 };
 
--- a/tests/jy_gateway/RelayFixture.h
+++ b/tests/jy_gateway/RelayFixture.h
@@ -16,7 +16,7 @@
 inline CallerProtocol testProtocol()
 {
     CallerProtocol protocol;
-    protocol.readRequestMetadata = [](const HttpHeaders &headers) {
+    protocol.readRequestMetadata = [](const HttpHeaders &headers, std::size_t) {
         RequestMetadata metadata;
         metadata.id = RequestId(std::string(headers.value("Id")));
         metadata.credential = headers.value("Key");
--- a/tests/platform/CodecTest.cpp
+++ b/tests/platform/CodecTest.cpp
@@ -209,19 +209,25 @@
 
 TEST(CallerCodecTest, Request)
 {
-    const auto metadata = createCallerProtocol().readRequestMetadata(
-        {{"Jacinthyoke-Attempt-Id", "9c41"},
-         {"jacinthyoke-deadline-ms", "6000"},
-         {"Jacinthyoke-Token-Count", "1460,80"},
-         {"Jacinthyoke-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,bad,e4402b7d:250"},
-         {"Jacinthyoke-Credential", "key"}});
+    const HttpHeaders headers{
+        {"Jacinthyoke-Attempt-Id", "9c41"},
+        {"jacinthyoke-deadline-ms", "6000"},
+        {"Jacinthyoke-Token-Count", "1460,80"},
+        {"Jacinthyoke-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,bad,e4402b7d:250"},
+        {"Jacinthyoke-Credential", "key"}};
+    const auto metadata = createCallerProtocol().readRequestMetadata(headers, 3);
     EXPECT_EQ(metadata.id, RequestId("9c41"));
     EXPECT_EQ(metadata.callerTimeout, milliseconds(6000));
     EXPECT_EQ(metadata.outputTokens, 80);
     ASSERT_EQ(metadata.prompt.size(), 3U);
     EXPECT_EQ(metadata.prompt[1].id, "91bd3f06");
+    EXPECT_EQ(metadata.prompt[0].id, "5c1e07a2");
     EXPECT_EQ(metadata.prompt[1].tokens, 410);
     EXPECT_EQ(metadata.credential, "key");
+    const auto last = createCallerProtocol().readRequestMetadata(headers, 2).prompt;
+    ASSERT_EQ(last.size(), 2U);
+    EXPECT_EQ(last[0].id, "91bd3f06");
+    EXPECT_EQ(last[1].tokens, 250);
 }
 
 TEST(CallerCodecTest, ReservedFieldsAreNotForwarded)
--- a/tests/platform/HostileWavesTest.cpp
+++ b/tests/platform/HostileWavesTest.cpp
@@ -23,11 +23,21 @@
     return hostileBehaviour("LongFields").bytes(path) + "\r\n";
 }
 
+std::string manyPromptParts(const std::string &path)
+{
+    constexpr std::size_t parts = 7500;
+    auto head = "GET " + path + " HTTP/1.1\r\nHost: h\r\nJacinthyoke-Prompt-Prefix: ";
+    for (std::size_t i = 0; i < parts; ++i)
+        head += ":,";
+    return head + "\r\n\r\n";
+}
+
 /** Complete requests to a server that keeps each of them for a while. */
 const std::vector<HostileBehaviour> behaviours{
     {.name = "LargeBodies", .bytes = largeBody, .pieceBytes = onePieceBytes},
     {.name = "ChunksOfOneByte", .bytes = chunksOfOneByte, .pieceBytes = onePieceBytes},
-    {.name = "LongHeads", .bytes = longHead, .pieceBytes = onePieceBytes}};
+    {.name = "LongHeads", .bytes = longHead, .pieceBytes = onePieceBytes},
+    {.name = "ManyPromptParts", .bytes = manyPromptParts, .pieceBytes = onePieceBytes}};
 
 struct HostileWavesTest : testing::TestWithParam<HostileBehaviour>
 { };
