Disconnect callers that expect 100 Continue and read nothing

Seen: a caller that sends many requests with Expect: 100-continue ahead and reads nothing may keep its connection and its fiber until the process ends: 6 of 12 such connections were open 20 s after a write timeout of 0.1 s and a request timeout of 0.5 s had passed.

Cause: the write of 100 Continue had the deadline of the request only, which ends reads. Whether it is this write that finds no room or that of a response depends on their lengths.

Change: the write has the write timeout, as those of responses.

Test: DisconnectsStalledReadersThatExpectContinue failed in 2 of 2 runs before and passes in 3 of 3.

--- a/modules/jy_http/server/HttpConnectionReads.cpp
+++ b/modules/jy_http/server/HttpConnectionReads.cpp
@@ -144,9 +144,13 @@
 error_code HttpConnection::readBody(Parser &parser)
 {
     error_code error;
-    if (parser.get()[http::field::expect] == "100-continue" && !parser.is_done())
+    if (parser.get()[http::field::expect] == "100-continue" && !parser.is_done()) {
+        // The deadline of the request ends reads only.
+        const SocketDeadline deadline(socket_, Clock::now() + settings_.writeTimeout,
+                                      SocketDeadline::Effect::Close);
         asio::async_write(socket_, asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25),
                           FiberToken{error});
+    }
     parser.eager(true);
     while (!error && !parser.is_done()) {
         const auto parsed = buffer_.size() > 0 ? parser.put(buffer_.cdata(), error) : 0;
