--- a/modules/jy_http/server/CallerMemoryShares.h
+++ b/modules/jy_http/server/CallerMemoryShares.h
@@ -14,7 +14,7 @@
     /** Half of the machine's memory; the other half is left to the process itself. */
     std::shared_ptr<CallerMemory> all;
 
-    /** A part of it for bodies. A forwarded body is in memory twice but counted once. */
+    /** A part of it for bodies: a quarter of the machine's memory. */
     std::shared_ptr<ByteBudget> bodies;
 
     /**
--- a/modules/jy_router/caller/ChatBody.cpp
+++ b/modules/jy_router/caller/ChatBody.cpp
@@ -3,7 +3,6 @@
 #include <boost/json/basic_parser_impl.hpp>
 
 #include <cstdint>
-#include <optional>
 #include <string>
 
 namespace jy {
--- a/tests/platform/HostileWavesTest.cpp
+++ b/tests/platform/HostileWavesTest.cpp
@@ -32,11 +32,24 @@
     return head + "\r\n\r\n";
 }
 
+constexpr std::size_t longResponseBytes = 200 * kilobyte;
+
+std::string longResponse(const std::string &path)
+{
+    return "GET " + path + "&long HTTP/1.1\r\nHost: h\r\n\r\n";
+}
+
 /** Complete requests to a server that keeps each of them for a while. */
 const std::vector<HostileBehaviour> behaviours{
     {.name = "LargeBodies", .bytes = largeBody, .pieceBytes = onePieceBytes},
     {.name = "ChunksOfOneByte", .bytes = chunksOfOneByte, .pieceBytes = onePieceBytes},
     {.name = "LongHeads", .bytes = longHead, .pieceBytes = onePieceBytes},
+    {.name = "UnreadResponses", .bytes = longResponse, .pieceBytes = onePieceBytes},
+    {.name = "SlowlyReadResponses",
+     .bytes = longResponse,
+     .pieceBytes = onePieceBytes,
+     .readBytes = 16,
+     .longestSending = seconds(5)},
     {.name = "ManyPromptParts", .bytes = manyPromptParts, .pieceBytes = onePieceBytes}};
 
 struct HostileWavesTest : testing::TestWithParam<HostileBehaviour>
@@ -55,7 +68,8 @@
         fleet.addBackend([&](const HttpRequest &request, HttpResponder &out) {
             if (request.target.starts_with("/a/slow"))
                 EventLoop::sleepFor(serverTime);
-            out.send(200, GatewayFleet::seal(request), "done");
+            const auto body = request.target.ends_with("long") ? longResponseBytes : 0;
+            out.send(200, GatewayFleet::seal(request), std::string(body, 'x'));
         });
         fleet.moreSettings = R"(,"limits":{"memoryMb":)" + std::to_string(memoryMb()) + "}";
         fleet.start(1);
