Leave three fifths of the machine's memory to the process itself

A router without callers uses 24 MB, its event buffer and what is not counted (freed blocks between others until they are returned) the rest.

Change: callers may make a process hold two fifths of limits.memoryMb instead of half. Bodies keep their quarter.

--- a/modules/jy_gateway/settings/GatewaySettings.cpp
+++ b/modules/jy_gateway/settings/GatewaySettings.cpp
@@ -56,7 +56,8 @@
         {0.001, 1024});
     visitor.number(
         {"memoryMb",
-         "Memory in MB; callers may make the instance hold half of it, message bodies a quarter."},
+         "Memory in MB; callers may make the instance hold two fifths of it, message bodies a "
+         "quarter."},
         memoryMb, {16, 1'048'576});
     visitor.number(
         {"linkMbps",
--- a/modules/jy_http/server/CallerMemoryShares.cpp
+++ b/modules/jy_http/server/CallerMemoryShares.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr double callerShare = 0.5;
+constexpr double callerShare = 0.4;
 constexpr double bodyShare = 0.25;
 
 } // namespace
--- a/modules/jy_http/server/CallerMemoryShares.h
+++ b/modules/jy_http/server/CallerMemoryShares.h
@@ -11,7 +11,7 @@
 /** What the callers of a process may make it hold of its machine's memory. */
 struct CallerMemoryShares
 {
-    /** Half of the machine's memory; the other half is left to the process itself. */
+    /** Two fifths of the machine's memory; the rest is left to the process itself. */
     std::shared_ptr<CallerMemory> all;
 
     /** A part of it for bodies: a quarter of the machine's memory. */
--- a/modules/jy_runtime/settings/RouterSettings.cpp
+++ b/modules/jy_runtime/settings/RouterSettings.cpp
@@ -146,7 +146,8 @@
 {
     visitor.number(
         {"memoryMb",
-         "Memory in MB; callers may make the router hold half of it, message bodies a quarter."},
+         "Memory in MB; callers may make the router hold two fifths of it, message bodies a "
+         "quarter."},
         memoryMb, {16, 1'048'576});
     visitor.count({"maxConnections", "Caller connections; further ones are refused."},
                   maxConnections, {1, 1'000'000});
