--- a/tests/platform/HostileCrowd.cpp
+++ b/tests/platform/HostileCrowd.cpp
@@ -103,6 +103,7 @@
     return withoutItsEnd(requestInChunks(path, bodyBytes, 1), lastChunkBytes);
 }
 
+// Sent of bodies whose announced length is far over the limit.
 constexpr std::size_t excessBytes = 256 * kilobyte;
 
 std::string tooLongBody(const std::string &path)
