Take blocks of 32 KB and more from outside of the heap

Seen: bodies of 64 KB in chunks that stop short of their end, 400 connections, took a router to 50.4 to 55.0 MB in 25 test runs; the bound is 56 MB, the account of the callers was at its limit of 22 MB, and a router without callers uses 24.

Cause: such a body grows in steps of twice its size, and each step below the mmap threshold leaves a freed block in the heap.

Change: the threshold is 32 KB instead of 64. The buffers of reads and writes, 16 KB, stay below it.

--- a/modules/jy_runtime/program/FreedMemory.cpp
+++ b/modules/jy_runtime/program/FreedMemory.cpp
@@ -11,9 +11,9 @@
 namespace {
 
 #ifdef __GLIBC__
-// Above the buffers of reads and writes, which are too frequent for a system call each; below
-// bodies and the stacks of fibers.
-constexpr int largeBlockBytes = 64 * 1024;
+// Above the buffers of reads and writes, which are too frequent for a system call each. With 64 KB,
+// bodies that grow in the heap left freed blocks of up to 32 KB behind.
+constexpr int largeBlockBytes = 32 * 1024;
 
 constexpr int keptAtEndBytes = 64 * 1024;
 #endif
